--- /dev/null
+++ b/Makefile
@@ -0,0 +1,13 @@
+.PHONY: build test lint generate demo bench
+build:
+	go build -o geraniumladder ./cmd/geraniumladder
+test:
+	go test ./...
+lint:
+	golangci-lint run ./...
+generate:
+	go generate ./...
+demo:
+	go run ./cmd/geraniumladder demo
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
