--- /dev/null
+++ b/pkg/placer/placer_test.go
@@ -0,0 +1,193 @@
+package placer_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"geraniumladder/pkg/placer"
+)
+
+func engine(i int) placer.Descriptor {
+	return placer.Descriptor{VM: fmt.Sprintf("vm%03d", i), Address: "127.0.0.1:1", FailureDomain: fmt.Sprint("d", i%3), BaseModel: "base",
+		State: placer.Live, Incarnation: "1", Slots: 8, MaxRunning: 16, TokensPerSecond: 1000}
+}
+
+func fleet(n int) placer.View {
+	var v placer.View
+	for i := range n {
+		v = v.WithDescriptor(engine(i))
+	}
+	return v
+}
+
+func ask(adapter string) placer.Request {
+	return placer.Request{Adapter: adapter, BaseModel: "base", PromptTokens: 100, AnswerTokens: 100}
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func choose(t *testing.T, v placer.View, r placer.Request) placer.Decision {
+	t.Helper()
+	d, err := placer.Choose(placer.ExpectedTime{}, v, r, random(), time.Second)
+	assert.NilError(t, err)
+	return d
+}
+
+// TestBeliefs guards against a load ordered twice, a load that is believed in after it failed, and use of a sidecar's
+// answer for an adapter of another endpoint.
+func TestBeliefs(t *testing.T) {
+	v := fleet(12)
+	r := ask("a@1")
+	d := choose(t, v, r)
+	assert.Assert(t, d.NeedsLoad)
+	sent := v.WithSent(d.Endpoint, r, time.Second)
+	again := choose(t, sent, r)
+	assert.Equal(t, again.Endpoint, d.Endpoint)
+	assert.Equal(t, again.Reason, "loading")
+	assert.Assert(t, !again.NeedsLoad)
+	assert.Assert(t, choose(t, sent.WithDone(d.Endpoint, r, false), r).NeedsLoad)
+	assert.Equal(t, choose(t, sent.WithDone(d.Endpoint, r, true), r).Reason, "resident")
+	assert.Assert(t, choose(t, sent.WithResident(d.Endpoint, "a@1", false), r).NeedsLoad)
+	next, gap := v.WithResidency("vm005", "1", placer.Delta{Sequence: 4, Added: []string{"a@1"}})
+	assert.Assert(t, !gap)
+	assert.Equal(t, choose(t, next, r).Endpoint, "vm005")
+	next, gap = next.WithResidency("vm005", "1", placer.Delta{Sequence: 6, Removed: []string{"a@1"}})
+	assert.Assert(t, gap)
+	assert.Assert(t, choose(t, next, r).NeedsLoad)
+	next, _ = next.WithResidency("vm005", "1", placer.Delta{Sequence: 5, Added: []string{"a@1"}})
+	assert.Assert(t, choose(t, next, r).NeedsLoad, "an older delta must be dropped")
+}
+
+// TestReports guards against old reports and reports of earlier incarnations, and against forgetting what was sent.
+func TestReports(t *testing.T) {
+	v := fleet(1).WithSent("vm000", ask("a@1"), 1)
+	v = v.WithLoad("vm000", "1", placer.Load{Running: 4, Sequence: 2}, 2)
+	e, _ := v.Endpoint("vm000")
+	assert.Equal(t, e.Sent, 0)
+	assert.Equal(t, e.Open, 1)
+	v = v.WithLoad("vm000", "1", placer.Load{Running: 9, Sequence: 1}, 3).WithLoad("vm000", "0", placer.Load{Running: 9, Sequence: 9}, 3)
+	e, _ = v.Endpoint("vm000")
+	assert.Equal(t, e.Load.Running, 4)
+	restarted := engine(0)
+	restarted.Incarnation = "2"
+	v = v.WithDescriptor(restarted).WithDescriptor(engine(0)).WithDone("vm000", ask("a@1"), true).WithState("vm000", "1", placer.Leaving)
+	e, _ = v.Endpoint("vm000")
+	assert.Equal(t, e.Incarnation, "2")
+	assert.Equal(t, e.Open, 0)
+	assert.Equal(t, e.Load.Running, 0)
+	assert.Equal(t, e.State, placer.Live)
+	assert.Equal(t, v.Without("vm000").Len(), 0)
+}
+
+// TestPolicies guards against a policy that chooses an endpoint which is not live, is excluded or has another base
+// model, and against an error without a remedy.
+func TestPolicies(t *testing.T) {
+	policies := []placer.Policy{placer.ExpectedTime{}, placer.Random{}, placer.LeastLoaded{}, placer.RendezvousHash{}, placer.BoundedHash{}}
+	rapid.Check(t, func(t *rapid.T) {
+		var v placer.View
+		allowed := map[string]bool{}
+		r := ask(fmt.Sprint("a", rapid.IntRange(0, 20).Draw(t, "adapter"), "@1"))
+		for i := range rapid.IntRange(0, 8).Draw(t, "endpoints") {
+			d := engine(i)
+			d.State = placer.State(rapid.IntRange(1, 4).Draw(t, "state"))
+			d.BaseModel = rapid.SampledFrom([]string{"base", "base", "other"}).Draw(t, "base")
+			v = v.WithDescriptor(d)
+			if rapid.Bool().Draw(t, "resident") {
+				v = v.WithResident(d.VM, r.Adapter, true)
+			}
+			v = v.WithLoad(d.VM, "1", placer.Load{Running: rapid.IntRange(0, 40).Draw(t, "running"), Sequence: 1}, 1)
+			if rapid.IntRange(0, 4).Draw(t, "exclude") == 0 {
+				r.Exclude = append(r.Exclude, d.VM)
+			} else if d.State == placer.Live && d.BaseModel == "base" {
+				allowed[d.VM] = true
+			}
+		}
+		for _, p := range policies {
+			d, err := p.Choose(v, r, random(), time.Second)
+			if len(allowed) == 0 {
+				var none *placer.NoEndpointError
+				assert.Assert(t, errors.As(err, &none))
+				assert.Assert(t, err.Error() != "")
+				continue
+			}
+			assert.NilError(t, err)
+			assert.Assert(t, allowed[d.Endpoint], "%T chose %s", p, d.Endpoint)
+		}
+	})
+}
+
+// TestHomesAreStable guards against homes that move more than one part in n when one of n endpoints is lost.
+func TestHomesAreStable(t *testing.T) {
+	const adapters, n = 3000, 12
+	before, after, moved := fleet(n), fleet(n).Without("vm004"), 0
+	for i := range adapters {
+		r := ask(fmt.Sprint("a", i, "@1"))
+		was, _ := placer.RendezvousHash{}.Choose(before, r, random(), 0)
+		is, _ := placer.RendezvousHash{}.Choose(after, r, random(), 0)
+		if was.Endpoint != is.Endpoint {
+			moved++
+			assert.Equal(t, was.Endpoint, "vm004")
+		}
+	}
+	assert.Assert(t, moved > adapters/n/2 && moved < adapters/n*2, "moved %d", moved)
+}
+
+// TestHomesGrowWithDemand guards against a popular adapter that stays at one home, and demand that doesn't decay.
+func TestHomesGrowWithDemand(t *testing.T) {
+	v := fleet(12).WithEntries(3)
+	r := ask("a@1")
+	used := map[string]bool{}
+	for i := range 2000 {
+		now := time.Duration(i) * 20 * time.Millisecond
+		d, err := placer.ExpectedTime{}.Choose(v, r, random(), now)
+		assert.NilError(t, err)
+		used[d.Endpoint] = true
+		v = v.WithSent(d.Endpoint, r, now)
+	}
+	assert.Assert(t, len(used) > 1)
+	assert.Assert(t, v.Demand("a@1", 40*time.Second) > 5000)
+	assert.Assert(t, v.Demand("a@1", time.Hour) < 1)
+}
+
+// BenchmarkView measures one choice, and one sent request, by the numbers of endpoints and adapters.
+func BenchmarkView(b *testing.B) {
+	for _, endpoints := range []int{4, 18, 730} {
+		for _, adapters := range []int{100, 3000, 53000} {
+			v := placer.View{}
+			for i := range endpoints {
+				d := engine(i)
+				d.BaseModel = fmt.Sprint("base", i%max(1, endpoints/122))
+				v = v.WithDescriptor(d)
+			}
+			requests := make([]placer.Request, adapters)
+			for i := range requests {
+				requests[i] = ask(fmt.Sprint("adapter-", i, "@1"))
+				requests[i].BaseModel = "base0"
+				v = v.WithSent("", requests[i], 0)
+			}
+			for i := range endpoints {
+				for j := range 8 {
+					v = v.WithResident(fmt.Sprintf("vm%03d", i), requests[(i*8+j)%adapters].Adapter, true)
+				}
+			}
+			rng := random()
+			name := fmt.Sprintf("endpoints=%d/adapters=%d", endpoints, adapters)
+			b.Run("choose/"+name, func(b *testing.B) {
+				for i := 0; b.Loop(); i++ {
+					_, _ = placer.Choose(placer.ExpectedTime{}, v, requests[i%adapters], rng, time.Second)
+				}
+			})
+			b.Run("sent/"+name, func(b *testing.B) {
+				for i := 0; b.Loop(); i++ {
+					v.WithSent("vm000", requests[i%adapters], time.Second)
+				}
+			})
+		}
+	}
+}
