--- /dev/null
+++ b/internal/emulator/vmlist.go
@@ -0,0 +1,127 @@
+package emulator
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"geraniumladder/internal/storer"
+)
+
+// VMListConfig configures a VMList.
+type VMListConfig struct {
+	// Lag is how far the visible list is behind the registrations.
+	Lag time.Duration
+	// Seed of the faults with a rate.
+	Seed uint64
+}
+
+// RegisteredVM is what a VM registers with POST /vms.
+type RegisteredVM struct {
+	VM            string `json:"Vm"`
+	Address       string
+	FailureDomain string
+	// Role is entry or sidecar.
+	Role string
+	// State is live, which is the default, or leaving.
+	State string
+}
+
+type vmChange struct {
+	at      time.Time
+	vm      RegisteredVM
+	removed bool
+}
+
+// VMList is the platform's list of live and leaving VMs, which lags behind the registrations. It keeps them when it
+// crashes.
+type VMList struct {
+	*control
+
+	lag time.Duration
+
+	state   sync.Mutex
+	visible map[string]RegisteredVM
+	// changes are those not yet visible, oldest first.
+	changes []vmChange
+}
+
+// NewVMList returns an empty list.
+func NewVMList(c VMListConfig) *VMList {
+	return &VMList{control: newControl(c.Seed, writesByMethod, nil), lag: c.Lag, visible: map[string]RegisteredVM{}}
+}
+
+// Handler serves the list at /vms and the fault pages.
+func (l *VMList) Handler() http.Handler {
+	e := newEcho()
+	l.register(e)
+	l.registerPages(e, pageFaults)
+	l.registerSeen(e)
+	return e
+}
+
+func (l *VMList) register(e *echo.Echo) {
+	e.GET("/vms", func(x echo.Context) error { return x.JSON(http.StatusOK, l.groups(time.Now())) }, l.wrap)
+	e.POST("/vms", func(x echo.Context) error {
+		var vm RegisteredVM
+		if err := x.Bind(&vm); err != nil || vm.VM == "" || vm.Address == "" {
+			return x.JSON(http.StatusBadRequest, failure(http.StatusBadRequest, "give a JSON object with at least Vm and Address"))
+		}
+		l.Register(vm)
+		return x.NoContent(http.StatusNoContent)
+	}, l.wrap)
+	e.DELETE("/vms/:name", func(x echo.Context) error {
+		l.Remove(x.Param("name"))
+		return x.NoContent(http.StatusNoContent)
+	}, l.wrap)
+}
+
+// Register adds a VM or replaces what it registered before.
+func (l *VMList) Register(vm RegisteredVM) {
+	if vm.State == "" {
+		vm.State = storer.StateLive
+	}
+	l.change(vmChange{at: time.Now(), vm: vm})
+}
+
+// Remove takes a VM off the list.
+func (l *VMList) Remove(name string) {
+	l.change(vmChange{at: time.Now(), vm: RegisteredVM{VM: name}, removed: true})
+}
+
+func (l *VMList) change(c vmChange) {
+	l.state.Lock()
+	defer l.state.Unlock()
+	l.changes = append(l.changes, c)
+}
+
+func (l *VMList) groups(now time.Time) []storer.TargetGroup {
+	lag := l.lag
+	if fault := time.Duration(l.Faults().Lag); fault > 0 {
+		lag = fault
+	}
+	l.state.Lock()
+	defer l.state.Unlock()
+	for len(l.changes) > 0 && !l.changes[0].at.After(now.Add(-lag)) {
+		c := l.changes[0]
+		l.changes = l.changes[1:]
+		if c.removed {
+			delete(l.visible, c.vm.VM)
+		} else {
+			l.visible[c.vm.VM] = c.vm
+		}
+	}
+	groups := []storer.TargetGroup{}
+	for _, name := range slices.Sorted(maps.Keys(l.visible)) {
+		vm := l.visible[name]
+		groups = append(groups, storer.TargetGroup{
+			Targets: []string{vm.Address},
+			Labels:  storer.TargetLabels{VM: vm.VM, FailureDomain: vm.FailureDomain, State: vm.State, Role: vm.Role},
+		})
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/storer/memory.go
@@ -0,0 +1,314 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of the table service, as DynamoDB has them.
+const (
+	// MaxRowBytes bounds the keys and data of one row.
+	MaxRowBytes = 400 << 10
+	// MaxTransactWrites bounds the writes of one transaction.
+	MaxTransactWrites = 100
+)
+
+// Fault makes a Memory behave as the platform does when it is at fault.
+type Fault struct {
+	// Down makes every call fail as Unavailable without effect.
+	Down bool
+	// FailNext makes the next calls fail as Unavailable without effect.
+	FailNext int
+	// LoseAnswerNext makes the next writes take effect and then fail as Unavailable.
+	LoseAnswerNext int
+	// Latency delays every call.
+	Latency time.Duration
+}
+
+// Counts tells how many calls a Memory has received.
+type Counts struct {
+	Reads  int
+	Writes int
+}
+
+// VersionError is the cause of a Conflict in a Memory.
+type VersionError struct {
+	// Index is the position of the write within its transaction.
+	Index  int
+	Pk     string
+	Sk     string
+	Stored int64
+	Expect int64
+}
+
+// Error implements error.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("row %s/%s has version %d, not %d", e.Pk, e.Sk, e.Stored, e.Expect)
+}
+
+// partition holds the rows of one partition key.
+type partition struct {
+	// sortKeys is sorted and holds exactly the keys of rows.
+	sortKeys []string
+	rows     map[string]Row
+}
+
+// Memory is a Platform held in memory. It owns its rows, objects and list of VMs; all goroutines that hold it may
+// write them. With a Fault set it answers as an unavailable platform does.
+type Memory struct {
+	mu         sync.Mutex
+	fault      Fault
+	counts     Counts
+	partitions map[string]*partition
+	objects    map[string][]byte
+	vms        []VM
+}
+
+var _ Platform = (*Memory)(nil)
+
+// NewMemory returns an empty Memory.
+func NewMemory() *Memory {
+	return &Memory{partitions: map[string]*partition{}, objects: map[string][]byte{}}
+}
+
+// SetFault replaces the faults; the zero Fault ends them.
+func (m *Memory) SetFault(f Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+}
+
+// SetVMs replaces the list of VMs.
+func (m *Memory) SetVMs(vms []VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.vms = slices.Clone(vms)
+}
+
+// Counts returns how many calls were received so far, including those that a Fault made fail.
+func (m *Memory) Counts() Counts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counts
+}
+
+var errFault = errors.New("the set Fault makes this call fail")
+
+// call runs work under the lock unless the fault prevents it.
+func (m *Memory) call(ctx context.Context, op string, isWrite bool, work func() *Error) error {
+	m.mu.Lock()
+	latency := m.fault.Latency
+	m.mu.Unlock()
+	if latency > 0 {
+		timer := time.NewTimer(latency)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return &Error{Kind: Unavailable, Op: op, Cause: err}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if isWrite {
+		m.counts.Writes++
+	} else {
+		m.counts.Reads++
+	}
+	if m.fault.Down {
+		return &Error{Kind: Unavailable, Op: op, Cause: errFault}
+	}
+	if m.fault.FailNext > 0 {
+		m.fault.FailNext--
+		return &Error{Kind: Unavailable, Op: op, Cause: errFault}
+	}
+	// The result must be compared here: a nil *Error in an error interface is not nil.
+	if err := work(); err != nil {
+		return err
+	}
+	if isWrite && m.fault.LoseAnswerNext > 0 {
+		m.fault.LoseAnswerNext--
+		return &Error{Kind: Unavailable, Op: op, Cause: errFault}
+	}
+	return nil
+}
+
+// Get implements Table.
+func (m *Memory) Get(ctx context.Context, pk, sk string) (Row, error) {
+	op := "get " + pk + "/" + sk
+	var found Row
+	err := m.call(ctx, op, false, func() *Error {
+		row, ok := m.row(pk, sk)
+		if !ok {
+			return &Error{Kind: NotFound, Op: op}
+		}
+		found = cloneRow(row)
+		return nil
+	})
+	return found, err
+}
+
+// Query implements Table.
+func (m *Memory) Query(ctx context.Context, pk, from string, limit int) ([]Row, error) {
+	var found []Row
+	err := m.call(ctx, "query "+pk, false, func() *Error {
+		p, ok := m.partitions[pk]
+		if !ok {
+			return nil
+		}
+		for _, sk := range p.sortKeys[sort.SearchStrings(p.sortKeys, from):] {
+			if limit > 0 && len(found) == limit {
+				break
+			}
+			found = append(found, cloneRow(p.rows[sk]))
+		}
+		return nil
+	})
+	return found, err
+}
+
+// Put implements Table.
+func (m *Memory) Put(ctx context.Context, row Row, expect int64) error {
+	return m.commit(ctx, "put "+row.Pk+"/"+row.Sk, []Write{{Row: row, Expect: expect}})
+}
+
+// Delete implements Table.
+func (m *Memory) Delete(ctx context.Context, pk, sk string, expect int64) error {
+	return m.commit(ctx, "delete "+pk+"/"+sk, []Write{{Row: Row{Pk: pk, Sk: sk}, Expect: expect, Delete: true}})
+}
+
+// Transact implements Table.
+func (m *Memory) Transact(ctx context.Context, writes []Write) error {
+	return m.commit(ctx, "transact", writes)
+}
+
+func (m *Memory) commit(ctx context.Context, op string, writes []Write) error {
+	return m.call(ctx, op, true, func() *Error {
+		if err := checkWrites(op, writes); err != nil {
+			return err
+		}
+		for i, w := range writes {
+			if stored, _ := m.row(w.Row.Pk, w.Row.Sk); stored.Version != w.Expect {
+				return &Error{Kind: Conflict, Op: op, Cause: &VersionError{
+					Index: i, Pk: w.Row.Pk, Sk: w.Row.Sk, Stored: stored.Version, Expect: w.Expect,
+				}}
+			}
+		}
+		for _, w := range writes {
+			m.apply(w)
+		}
+		return nil
+	})
+}
+
+// checkWrites returns an error of kind Invalid for writes that the table service rejects whatever its rows are.
+func checkWrites(op string, writes []Write) *Error {
+	invalid := func(format string, args ...any) *Error {
+		return &Error{Kind: Invalid, Op: op, Cause: errors.Newf(format, args...)}
+	}
+	if len(writes) == 0 || len(writes) > MaxTransactWrites {
+		return invalid("%d writes; give 1 to %d", len(writes), MaxTransactWrites)
+	}
+	type key struct{ pk, sk string }
+	seen := map[key]bool{}
+	for _, w := range writes {
+		k := key{w.Row.Pk, w.Row.Sk}
+		if k.pk == "" || k.sk == "" {
+			return invalid("the row has an empty key")
+		}
+		if seen[k] {
+			return invalid("two writes of row %s/%s", k.pk, k.sk)
+		}
+		seen[k] = true
+		if n := len(k.pk) + len(k.sk) + len(w.Row.Data) + len(w.Row.Mark); n > MaxRowBytes {
+			return invalid("row %s/%s has %d bytes; give at most %d", k.pk, k.sk, n, MaxRowBytes)
+		}
+	}
+	return nil
+}
+
+func (m *Memory) row(pk, sk string) (Row, bool) {
+	p, ok := m.partitions[pk]
+	if !ok {
+		return Row{}, false
+	}
+	row, ok := p.rows[sk]
+	return row, ok
+}
+
+func (m *Memory) apply(w Write) {
+	p, ok := m.partitions[w.Row.Pk]
+	if !ok {
+		p = &partition{rows: map[string]Row{}}
+		m.partitions[w.Row.Pk] = p
+	}
+	at, exists := slices.BinarySearch(p.sortKeys, w.Row.Sk)
+	if w.Delete {
+		if exists {
+			p.sortKeys = slices.Delete(p.sortKeys, at, at+1)
+			delete(p.rows, w.Row.Sk)
+		}
+		return
+	}
+	if !exists {
+		p.sortKeys = slices.Insert(p.sortKeys, at, w.Row.Sk)
+	}
+	row := cloneRow(w.Row)
+	row.Version = w.Expect + 1
+	p.rows[row.Sk] = row
+}
+
+func cloneRow(r Row) Row {
+	r.Data = bytes.Clone(r.Data)
+	return r
+}
+
+// GetObject implements Objects.
+func (m *Memory) GetObject(ctx context.Context, key string) ([]byte, error) {
+	op := "get object " + key
+	var body []byte
+	err := m.call(ctx, op, false, func() *Error {
+		stored, ok := m.objects[key]
+		if !ok {
+			return &Error{Kind: NotFound, Op: op}
+		}
+		body = bytes.Clone(stored)
+		return nil
+	})
+	return body, err
+}
+
+// PutObject implements Objects.
+func (m *Memory) PutObject(ctx context.Context, key string, body []byte) error {
+	return m.call(ctx, "put object "+key, true, func() *Error {
+		m.objects[key] = append([]byte{}, body...)
+		return nil
+	})
+}
+
+// DeleteObject implements Objects.
+func (m *Memory) DeleteObject(ctx context.Context, key string) error {
+	return m.call(ctx, "delete object "+key, true, func() *Error {
+		delete(m.objects, key)
+		return nil
+	})
+}
+
+// List implements VMs.
+func (m *Memory) List(ctx context.Context) ([]VM, error) {
+	var vms []VM
+	err := m.call(ctx, "list VMs", false, func() *Error {
+		vms = slices.Clone(m.vms)
+		return nil
+	})
+	return vms, err
+}
--- /dev/null
+++ b/internal/storer/storer_test.go
@@ -0,0 +1,271 @@
+package storer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"geraniumladder/internal/emulator"
+	"geraniumladder/internal/storer"
+)
+
+func kindOf(t *testing.T, err error) storer.Kind {
+	t.Helper()
+	e := new(storer.Error)
+	assert.Assert(t, errors.As(err, &e), "error %v is no *storer.Error", err)
+	return e.Kind
+}
+
+// newClient returns a client of a new emulated platform.
+func newClient(t *testing.T, c emulator.PlatformConfig) (*storer.Client, *emulator.Platform) {
+	t.Helper()
+	platform := emulator.NewPlatform(c)
+	server := httptest.NewServer(platform.Handler())
+	client := storer.NewClient(storer.ClientConfig{URL: server.URL, Timeout: 20 * time.Second})
+	t.Cleanup(func() { client.Close(); platform.Crash(); server.CloseClientConnections(); server.Close() })
+	return client, platform
+}
+
+// eachPlatform runs a test against the client with the emulated platform, and against the Memory.
+func eachPlatform(t *testing.T, test func(*testing.T, storer.Platform)) {
+	t.Run("client", func(t *testing.T) {
+		client, platform := newClient(t, emulator.PlatformConfig{})
+		platform.VMList.Register(emulator.RegisteredVM{VM: "e1", Address: "10.0.0.1:7", FailureDomain: "a", Role: "entry"})
+		test(t, client)
+	})
+	t.Run("memory", func(t *testing.T) {
+		memory := storer.NewMemory()
+		memory.SetVMs([]storer.VM{{Name: "e1", Address: "10.0.0.1:7", FailureDomain: "a", Role: "entry"}})
+		test(t, memory)
+	})
+}
+
+// Guards against a field lost on the way and against a write that takes effect although its condition failed.
+func TestRows(t *testing.T) {
+	eachPlatform(t, func(t *testing.T, p storer.Platform) {
+		ctx := t.Context()
+		_, err := p.Get(ctx, "claim", "org/absent")
+		assert.Equal(t, kindOf(t, err), storer.NotFound)
+		row := storer.Row{Pk: "claim", Sk: "org/ü 1", Data: []byte(`{"A":"<&>"}`), Mark: "m1"}
+		assert.NilError(t, p.Put(ctx, row, 0))
+		assert.Equal(t, kindOf(t, p.Put(ctx, row, 0)), storer.Conflict)
+		row.Mark = "m2"
+		assert.NilError(t, p.Put(ctx, row, 1))
+		stale := row
+		stale.Mark = "m3"
+		assert.Equal(t, kindOf(t, p.Put(ctx, stale, 1)), storer.Conflict)
+		row.Version = 2
+		got, err := p.Get(ctx, row.Pk, row.Sk)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, row)
+		assert.Equal(t, kindOf(t, p.Delete(ctx, row.Pk, row.Sk, 1)), storer.Conflict)
+		assert.NilError(t, p.Delete(ctx, row.Pk, row.Sk, 2))
+		_, err = p.Get(ctx, row.Pk, row.Sk)
+		assert.Equal(t, kindOf(t, err), storer.NotFound)
+		big := storer.Row{Pk: "a", Sk: "b", Data: []byte(strings.Repeat("x", storer.MaxRowBytes))}
+		assert.Equal(t, kindOf(t, p.Put(ctx, big, 0)), storer.Invalid)
+	})
+}
+
+// Guards against rows missing or repeated at the borders of pages: the emulated table ends a page at 1 MiB.
+func TestQuery(t *testing.T) {
+	eachPlatform(t, func(t *testing.T, p storer.Platform) {
+		data := []byte(strings.Repeat("x", 300<<10))
+		for i := 9; i >= 0; i-- {
+			assert.NilError(t, p.Put(t.Context(), storer.Row{Pk: "q", Sk: fmt.Sprintf("%03d", i), Data: data}, 0))
+		}
+		assert.NilError(t, p.Put(t.Context(), storer.Row{Pk: "r", Sk: "000"}, 0))
+		for _, test := range []struct {
+			from        string
+			limit       int
+			first, rows int
+		}{{"", 0, 0, 10}, {"", 3, 0, 3}, {"002", 0, 2, 8}, {"0025", 6, 3, 6}, {"002", 1, 2, 1}, {"2", 0, 0, 0}} {
+			rows, err := p.Query(t.Context(), "q", test.from, test.limit)
+			assert.NilError(t, err)
+			assert.Equal(t, len(rows), test.rows, "from %q limit %d", test.from, test.limit)
+			for i, row := range rows {
+				assert.Equal(t, row.Sk, fmt.Sprintf("%03d", test.first+i))
+				assert.Equal(t, row.Version, int64(1))
+			}
+		}
+	})
+}
+
+// Guards against a transaction of which a part takes effect.
+func TestTransact(t *testing.T) {
+	eachPlatform(t, func(t *testing.T, p storer.Platform) {
+		ctx := t.Context()
+		head, file := storer.Row{Pk: "config", Sk: "head"}, storer.Row{Pk: "config-file", Sk: "a.yaml"}
+		assert.NilError(t, p.Transact(ctx, []storer.Write{{Row: head}, {Row: file}}))
+		err := p.Transact(ctx, []storer.Write{{Row: head, Expect: 1}, {Row: file, Expect: 7}})
+		assert.Equal(t, kindOf(t, err), storer.Conflict)
+		got, err := p.Get(ctx, "config", "head")
+		assert.NilError(t, err)
+		assert.Equal(t, got.Version, int64(1))
+		assert.NilError(t, p.Transact(ctx, []storer.Write{{Row: file, Expect: 1, Delete: true}, {Row: head, Expect: 1}}))
+		_, err = p.Get(ctx, "config-file", "a.yaml")
+		assert.Equal(t, kindOf(t, err), storer.NotFound)
+		assert.Equal(t, kindOf(t, p.Transact(ctx, []storer.Write{{Row: head}, {Row: head}})), storer.Invalid)
+	})
+}
+
+// Guards against an object or a VM that changes on the way.
+func TestObjectsAndVMs(t *testing.T) {
+	eachPlatform(t, func(t *testing.T, p storer.Platform) {
+		ctx, key := t.Context(), "config/snapshot/64 ü+%"
+		_, err := p.GetObject(ctx, key)
+		assert.Equal(t, kindOf(t, err), storer.NotFound)
+		for _, body := range [][]byte{[]byte("one\x00two"), {}} {
+			assert.NilError(t, p.PutObject(ctx, key, body))
+			got, err := p.GetObject(ctx, key)
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), string(body))
+		}
+		assert.NilError(t, p.DeleteObject(ctx, key))
+		_, err = p.GetObject(ctx, key)
+		assert.Equal(t, kindOf(t, err), storer.NotFound)
+		vms, err := p.List(ctx)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, vms, []storer.VM{{Name: "e1", Address: "10.0.0.1:7", FailureDomain: "a", Role: "entry"}})
+	})
+}
+
+// calls are one call of each operation; all but the last four are writes.
+func calls(ctx context.Context, p storer.Platform) []error {
+	row := storer.Row{Pk: "lease", Sk: "model-1", Mark: "mine"}
+	_, get := p.Get(ctx, row.Pk, row.Sk)
+	_, query := p.Query(ctx, row.Pk, "", 0)
+	_, object := p.GetObject(ctx, "k")
+	_, list := p.List(ctx)
+	return []error{
+		p.Put(ctx, row, 0), p.Delete(ctx, row.Pk, row.Sk, 1), p.Transact(ctx, []storer.Write{{Row: row}}),
+		p.PutObject(ctx, "k", nil), p.DeleteObject(ctx, "k"), get, query, object, list,
+	}
+}
+
+// Guards against an outage that looks like an answer, such as "not found" or "changed by another writer".
+func TestOutage(t *testing.T) {
+	client, platform := newClient(t, emulator.PlatformConfig{})
+	memory := storer.NewMemory()
+	for _, fault := range []struct {
+		platform emulator.Faults
+		memory   storer.Fault
+	}{
+		{emulator.Faults{Down: true}, storer.Fault{Down: true}},
+		{emulator.Faults{FailNext: 100}, storer.Fault{FailNext: 100}},
+		{emulator.Faults{FailRate: 1}, storer.Fault{Down: true}},
+	} {
+		platform.SetFaults(fault.platform)
+		memory.SetFault(fault.memory)
+		for _, p := range []storer.Platform{client, memory} {
+			for i, err := range calls(t.Context(), p) {
+				assert.Equal(t, kindOf(t, err), storer.Unavailable, "call %d: %v", i, err)
+			}
+		}
+	}
+	platform.SetFaults(emulator.Faults{})
+	_, err := client.Get(t.Context(), "lease", "model-1")
+	assert.Equal(t, kindOf(t, err), storer.NotFound, "a call that failed took effect")
+}
+
+// Guards against a lost answer that is taken for a failed write: the row holds the writer's mark.
+func TestLostAnswer(t *testing.T) {
+	client, platform := newClient(t, emulator.PlatformConfig{})
+	platform.Table.SetFaults(emulator.Faults{LoseAnswerNext: 2})
+	memory := storer.NewMemory()
+	memory.SetFault(storer.Fault{LoseAnswerNext: 2})
+	for _, p := range []storer.Platform{client, memory} {
+		ctx := t.Context()
+		row := storer.Row{Pk: "claim", Sk: "org/key", Mark: "mine"}
+		_, err := p.Get(ctx, row.Pk, row.Sk)
+		assert.Equal(t, kindOf(t, err), storer.NotFound, "a read must not use up the fault")
+		assert.Equal(t, kindOf(t, p.Put(ctx, row, 0)), storer.Unavailable)
+		row.Mark = "mine too"
+		assert.Equal(t, kindOf(t, p.Transact(ctx, []storer.Write{{Row: row, Expect: 1}})), storer.Unavailable)
+		got, err := p.Get(ctx, row.Pk, row.Sk)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Mark, "mine too")
+		assert.Equal(t, got.Version, int64(2))
+	}
+	// A repetition by the SDK or by net/http would show here.
+	assert.Equal(t, len(platform.Table.SeenRequests()), 4)
+}
+
+// Guards against a call that hangs on an unresponsive connection longer than its timeout.
+func TestSilentConnection(t *testing.T) {
+	platform := emulator.NewPlatform(emulator.PlatformConfig{})
+	server := httptest.NewServer(platform.Handler())
+	defer server.Close()
+	client := storer.NewClient(storer.ClientConfig{URL: server.URL, Timeout: 200 * time.Millisecond})
+	defer client.Close()
+	row := storer.Row{Pk: "a", Sk: "b"}
+	for client.Put(t.Context(), row, 0) != nil { // The machine may be too busy for the short timeout.
+		if _, err := client.Get(t.Context(), "a", "b"); err == nil {
+			break
+		}
+	}
+	platform.SetFaults(emulator.Faults{Silent: true})
+	_, err := client.Get(t.Context(), "a", "b")
+	assert.Equal(t, kindOf(t, err), storer.Unavailable)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	working := storer.NewClient(storer.ClientConfig{URL: server.URL, Timeout: 20 * time.Second})
+	defer working.Close()
+	_, err = working.Get(t.Context(), "a", "b")
+	assert.NilError(t, err)
+}
+
+// Guards against a rate limit that is not applied, or is reported as something other than Unavailable.
+func TestRateLimits(t *testing.T) {
+	client, _ := newClient(t, emulator.PlatformConfig{Table: emulator.TableConfig{WriteRate: 1}})
+	var limited int
+	for i := range 20 {
+		if err := client.Put(t.Context(), storer.Row{Pk: "a", Sk: fmt.Sprint(i)}, 0); err != nil {
+			assert.Equal(t, kindOf(t, err), storer.Unavailable)
+			limited++
+		}
+	}
+	assert.Assert(t, limited > 0)
+}
+
+// Guards against a difference between the Memory, on which other packages' tests rely, and the client with the table.
+func TestMemoryEqualsClient(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		platform := emulator.NewPlatform(emulator.PlatformConfig{})
+		server := httptest.NewServer(platform.Handler())
+		defer server.Close()
+		client := storer.NewClient(storer.ClientConfig{URL: server.URL, Timeout: 20 * time.Second})
+		defer client.Close()
+		memory := storer.NewMemory()
+		write := rapid.Custom(func(r *rapid.T) storer.Write {
+			return storer.Write{
+				Row:    storer.Row{Pk: rapid.SampledFrom([]string{"a", "b"}).Draw(r, "Pk"), Sk: rapid.SampledFrom([]string{"1", "2", "3"}).Draw(r, "Sk"), Mark: rapid.String().Draw(r, "Mark")},
+				Expect: rapid.Int64Range(0, 3).Draw(r, "Expect"),
+				Delete: rapid.IntRange(0, 3).Draw(r, "Delete") == 0,
+			}
+		})
+		for range rapid.IntRange(1, 12).Draw(r, "steps") {
+			writes := rapid.SliceOfN(write, 1, 3).Draw(r, "writes")
+			got, want := client.Transact(r.Context(), writes), memory.Transact(r.Context(), writes)
+			assert.Equal(r, got == nil, want == nil, "%v, but %v", got, want)
+			if want != nil {
+				g, w := new(storer.Error), new(storer.Error)
+				assert.Assert(r, errors.As(got, &g) && errors.As(want, &w))
+				assert.Equal(r, g.Kind, w.Kind)
+			}
+			for _, pk := range []string{"a", "b"} {
+				got, err := client.Query(r.Context(), pk, "2", 0)
+				assert.NilError(r, err)
+				want, err := memory.Query(r.Context(), pk, "2", 0)
+				assert.NilError(r, err)
+				assert.Equal(r, fmt.Sprint(got), fmt.Sprint(want))
+			}
+		}
+	})
+}
