--- a/internal/emulator/commands.go
+++ b/internal/emulator/commands.go
@@ -28,38 +28,48 @@
 		Commands: []*cli.Command{
 			standin("platform", "table at /, objects under /objects, list of VMs at /vms, weights under /weights",
 				append(append(tableFlags(), vmFlags()...), weightFlags()...),
-				func(c *cli.Command) http.Handler {
+				func(c *cli.Command) (http.Handler, func()) {
 					return NewPlatform(PlatformConfig{
 						Table: tableConfig(c), Objects: ObjectsConfig{Seed: c.Uint64("seed")}, VMList: vmConfig(c), Weights: weightConfig(c),
-					}).Handler()
+					}).Handler(), nil
 				}),
 			standin("table", "table service: DynamoDB JSON protocol", tableFlags(),
-				func(c *cli.Command) http.Handler { return NewTable(tableConfig(c)).Handler() }),
+				func(c *cli.Command) (http.Handler, func()) { return NewTable(tableConfig(c)).Handler(), nil }),
 			standin("objects", "object store: S3 path style under /objects", nil,
-				func(c *cli.Command) http.Handler { return NewObjects(ObjectsConfig{Seed: c.Uint64("seed")}).Handler() }),
+				func(c *cli.Command) (http.Handler, func()) {
+					return NewObjects(ObjectsConfig{Seed: c.Uint64("seed")}).Handler(), nil
+				}),
 			standin("weights", "weight store: GET /weights/PATH", weightFlags(),
-				func(c *cli.Command) http.Handler { return NewWeights(weightConfig(c)).Handler() }),
+				func(c *cli.Command) (http.Handler, func()) { return NewWeights(weightConfig(c)).Handler(), nil }),
 			standin("vms", "list of VMs at /vms", vmFlags(),
-				func(c *cli.Command) http.Handler { return NewVMList(vmConfig(c)).Handler() }),
+				func(c *cli.Command) (http.Handler, func()) { return NewVMList(vmConfig(c)).Handler(), nil }),
 			standin("engine", "model engine: API of vLLM's OpenAI-compatible server", engineFlags(),
-				func(c *cli.Command) http.Handler { return NewEngine(engineConfig(c)).Handler() }),
+				func(c *cli.Command) (http.Handler, func()) {
+					engine := NewEngine(engineConfig(c))
+					return engine.Handler(), engine.Close
+				}),
 			standin("ledger", "plain service whose bookings may not be repeated",
 				[]cli.Flag{&cli.DurationFlag{Name: "work-time", Usage: "how long a booking takes"}},
-				func(c *cli.Command) http.Handler {
-					return NewLedger(LedgerConfig{WorkTime: c.Duration("work-time"), Seed: c.Uint64("seed")}).Handler()
+				func(c *cli.Command) (http.Handler, func()) {
+					return NewLedger(LedgerConfig{WorkTime: c.Duration("work-time"), Seed: c.Uint64("seed")}).Handler(), nil
 				}),
 		},
 	}
 }
 
-// standin returns a subcommand that serves a handler until SIGTERM.
-func standin(name, usage string, flags []cli.Flag, handler func(*cli.Command) http.Handler) *cli.Command {
+// standin returns a subcommand that serves a handler until SIGTERM. The function that handler returns is called after
+// the end, unless it is nil.
+func standin(name, usage string, flags []cli.Flag, handler func(*cli.Command) (http.Handler, func())) *cli.Command {
 	flags = append([]cli.Flag{
 		&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`HOST:PORT` to listen on; port 0 takes a free one"},
 		&cli.Uint64Flag{Name: "seed", Usage: "seed of the faults with a rate"},
 	}, flags...)
 	return &cli.Command{Name: name, Usage: usage, Flags: flags, Action: func(ctx context.Context, c *cli.Command) error {
-		return serve(ctx, c, handler(c))
+		served, stop := handler(c)
+		if stop != nil {
+			defer stop()
+		}
+		return serve(ctx, c, served)
 	}}
 }
 
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -442,6 +442,17 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
+	e.HTTPErrorHandler = func(err error, x echo.Context) {
+		if x.Response().Committed {
+			return
+		}
+		status := http.StatusInternalServerError
+		if refused := new(echo.HTTPError); errors.As(err, &refused) {
+			status = refused.Code
+		}
+		// The connection may be closed already; nobody is left to tell.
+		_ = x.JSON(status, failure(status, err.Error()))
+	}
 	return e
 }
 
--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,388 @@
+package emulator_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"geraniumladder/internal/emulator"
+)
+
+// aborted is the status that serve reports for a connection closed without an answer.
+const aborted = -1
+
+// request is a request to a handler, without a network.
+type request struct {
+	method, path, body string
+	// connection stands for an open connection; "c" when empty.
+	connection string
+	header     map[string]string
+	ctx        context.Context
+}
+
+// serve runs a handler as net/http does and returns the answer.
+func serve(h http.Handler, q request) (answer *httptest.ResponseRecorder) {
+	answer = httptest.NewRecorder()
+	serveTo(answer, h, q)
+	return answer
+}
+
+func serveTo(answer *httptest.ResponseRecorder, h http.Handler, q request) {
+	if q.ctx == nil {
+		q.ctx = context.Background()
+	}
+	r := httptest.NewRequestWithContext(q.ctx, q.method, q.path, strings.NewReader(q.body))
+	r.RemoteAddr = "c" + q.connection
+	for name, value := range q.header {
+		r.Header.Set(name, value)
+	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panic(cause)
+			}
+			answer.Code = aborted
+		}
+	}()
+	h.ServeHTTP(answer, r)
+}
+
+func get(h http.Handler, path string) *httptest.ResponseRecorder {
+	return serve(h, request{method: http.MethodGet, path: path})
+}
+
+func post(h http.Handler, path, body string) *httptest.ResponseRecorder {
+	return serve(h, request{method: http.MethodPost, path: path, body: body})
+}
+
+// start serves a request in the background; the channel delivers the status at its end.
+func start(h http.Handler, q request) <-chan int {
+	done := make(chan int, 1)
+	go func() { done <- serve(h, q).Code }()
+	return done
+}
+
+// isOpen tells that a request is not answered although everything in the bubble is at rest.
+func isOpen(done <-chan int) bool {
+	synctest.Wait()
+	return len(done) == 0
+}
+
+// Guards against a fault that has the wrong effect on the work: "failed" must not have run, "lost" must have.
+func TestCountedFaults(t *testing.T) {
+	ledger := emulator.NewLedger(emulator.LedgerConfig{})
+	h := ledger.Handler()
+	assert.Equal(t, post(h, "/faults", `{"FailNext":1,"LoseAnswerNext":1}`).Code, http.StatusOK)
+	assert.Equal(t, get(h, "/health").Code, http.StatusOK, "a probe must not use up a fault")
+	assert.Equal(t, post(h, "/bookings", `{"A":1}`).Code, http.StatusServiceUnavailable)
+	assert.Equal(t, ledger.Book().Total(), 0)
+	assert.Equal(t, get(h, "/balances/a").Code, http.StatusOK, "a read must not use up a lost answer")
+	assert.Equal(t, post(h, "/bookings", `{"A":2}`).Code, aborted)
+	assert.Equal(t, ledger.Book().Total(), 1)
+	assert.Equal(t, post(h, "/bookings", `{"A":3}`).Code, http.StatusCreated)
+	ledger.SetFaults(emulator.Faults{Down: true})
+	assert.Equal(t, post(h, "/bookings", `{"A":4}`).Code, aborted)
+	assert.Equal(t, ledger.Book().Total(), 2)
+	assert.Equal(t, serve(h, request{method: http.MethodDelete, path: "/faults"}).Code, http.StatusNoContent)
+	ledger.SetFaults(emulator.Faults{FailRate: 1})
+	assert.Equal(t, post(h, "/bookings", `{"A":5}`).Code, http.StatusServiceUnavailable)
+	var refused []bool
+	for _, s := range ledger.SeenRequests() {
+		refused = append(refused, s.Refused)
+	}
+	assert.DeepEqual(t, refused, []bool{true, false, false, false, true, true})
+}
+
+// Guards against a fault page that drops the faults it was not asked to change, or accepts a misspelt one.
+func TestFaultPage(t *testing.T) {
+	h := emulator.NewTable(emulator.TableConfig{}).Handler()
+	assert.Equal(t, post(h, "/faults", `{"Latency":"50ms","FailNext":3}`).Code, http.StatusOK)
+	assert.Equal(t, post(h, "/faults", `{"Lag":"5s"}`).Code, http.StatusOK)
+	assert.Equal(t, post(h, "/faults", `{"Latencie":"5s"}`).Code, http.StatusBadRequest)
+	var faults emulator.Faults
+	assert.NilError(t, json.Unmarshal(get(h, "/faults").Body.Bytes(), &faults))
+	want := emulator.Faults{Latency: emulator.Duration(50 * time.Millisecond), FailNext: 3, Lag: emulator.Duration(5 * time.Second)}
+	assert.Equal(t, faults, want)
+}
+
+// Guards against a platform whose services share one set of faults, or that has no page for all of them.
+func TestPlatformFaultPages(t *testing.T) {
+	platform := emulator.NewPlatform(emulator.PlatformConfig{})
+	h := platform.Handler()
+	assert.Equal(t, post(h, "/faults/vms", `{"Down":true}`).Code, http.StatusOK)
+	assert.Equal(t, get(h, "/vms").Code, aborted)
+	assert.Equal(t, get(h, "/objects/b/k").Code, http.StatusNotFound)
+	assert.Equal(t, post(h, "/faults", `{"Down":true}`).Code, http.StatusNoContent)
+	assert.Equal(t, get(h, "/objects/b/k").Code, aborted)
+	assert.Equal(t, serve(h, request{method: http.MethodDelete, path: "/faults"}).Code, http.StatusNoContent)
+	assert.Equal(t, get(h, "/vms").Code, http.StatusOK)
+}
+
+// Guards against a silent connection that recovers, or that makes new connections silent too.
+func TestSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := emulator.NewLedger(emulator.LedgerConfig{WorkTime: time.Second})
+		h := ledger.Handler()
+		ctx, cancel := context.WithCancel(t.Context())
+		balance := func(connection string) request {
+			return request{method: http.MethodGet, path: "/balances/a", connection: connection, ctx: ctx}
+		}
+		assert.Equal(t, serve(h, balance("old")).Code, http.StatusOK)
+		running := start(h, request{method: http.MethodPost, path: "/bookings", body: "{}", connection: "running", ctx: ctx})
+		synctest.Wait()
+		ledger.SetFaults(emulator.Faults{Silent: true})
+		ledger.SetFaults(emulator.Faults{})
+		old := start(h, balance("old"))
+		time.Sleep(time.Hour)
+		assert.Assert(t, isOpen(old) && isOpen(running))
+		assert.Equal(t, ledger.Book().Total(), 1, "work under way goes on behind a silent connection")
+		assert.Equal(t, serve(h, balance("new")).Code, http.StatusOK)
+		ledger.SetFaults(emulator.Faults{SilentAll: true})
+		recent := start(h, balance("new"))
+		assert.Assert(t, isOpen(recent))
+		cancel()
+		assert.Equal(t, <-old, aborted)
+		assert.Equal(t, <-recent, aborted)
+		<-running
+	})
+}
+
+// Guards against Silent on connections of net/http, where the address of the peer alone does not identify them.
+func TestSilentOverTCP(t *testing.T) {
+	ledger := emulator.NewLedger(emulator.LedgerConfig{})
+	server := httptest.NewServer(ledger.Handler())
+	defer server.Close()
+	read := func(ctx context.Context, client *http.Client) error {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/balances/a", http.NoBody)
+		assert.NilError(t, err)
+		answer, err := client.Do(r)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, answer.Body)
+		return errors.Join(err, answer.Body.Close())
+	}
+	old, recent := &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}
+	assert.NilError(t, read(t.Context(), old))
+	ledger.SetFaults(emulator.Faults{Silent: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- read(ctx, old) }()
+	// Once the request has arrived, a working connection would answer it while the new one is served.
+	for len(ledger.SeenRequests()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, read(t.Context(), recent))
+	cancel()
+	assert.ErrorIs(t, <-done, context.Canceled)
+	recent.CloseIdleConnections()
+}
+
+// Guards against a latency that is not applied before the work.
+func TestLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := emulator.NewLedger(emulator.LedgerConfig{})
+		ledger.SetFaults(emulator.Faults{Latency: emulator.Duration(time.Minute)})
+		done := start(ledger.Handler(), request{method: http.MethodPost, path: "/bookings", body: "{}"})
+		time.Sleep(59 * time.Second)
+		assert.Assert(t, isOpen(done))
+		assert.Equal(t, ledger.Book().Total(), 0)
+		assert.Equal(t, <-done, http.StatusCreated)
+	})
+}
+
+// Guards against bookings that are counted wrongly: replicas share a book, a client that leaves does not undo a
+// booking, and a crash loses only what is under way.
+func TestLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := emulator.NewLedgerBook()
+		a := emulator.NewLedger(emulator.LedgerConfig{Book: book, WorkTime: time.Second})
+		b := emulator.NewLedger(emulator.LedgerConfig{Book: book})
+		assert.Equal(t, post(a.Handler(), "/bookings", `{"A":1}`).Body.String(), "{\"Booking\":1,\"Body\":{\"A\":1}}\n")
+		assert.Equal(t, post(b.Handler(), "/bookings", `{"A":1}`).Code, http.StatusCreated)
+		assert.Equal(t, post(b.Handler(), "/bookings", `no JSON`).Code, http.StatusBadRequest)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		serve(a.Handler(), request{method: http.MethodPost, path: "/bookings", body: `{"A":2}`, ctx: ctx})
+		lost := start(a.Handler(), request{method: http.MethodPost, path: "/bookings", body: `{"A":3}`})
+		synctest.Wait()
+		a.Crash()
+		assert.Equal(t, <-lost, aborted)
+		time.Sleep(time.Minute)
+		h := b.Handler()
+		assert.Equal(t, get(h, "/bookings").Body.String(), `[{"Body":{"A":1},"TimesRun":2},{"Body":{"A":2},"TimesRun":1}]`+"\n")
+		assert.Equal(t, get(h, "/balances/parish").Body.String(), get(a.Handler(), "/balances/parish").Body.String())
+		var seen []emulator.Seen
+		assert.NilError(t, json.Unmarshal(get(h, "/seen").Body.Bytes(), &seen))
+		assert.Equal(t, len(seen), 3, "the pages for tests must not be recorded")
+	})
+}
+
+// Guards against a record that lacks what checks for leaked keys and wrong routes need.
+func TestSeen(t *testing.T) {
+	ledger := emulator.NewLedger(emulator.LedgerConfig{})
+	h := ledger.Handler()
+	body := `{"model":"m@1","prompt":"` + strings.Repeat("p", 200) + `"}`
+	serve(h, request{method: http.MethodPost, path: "/bookings?k=v", body: body,
+		header: map[string]string{"X-Request-Id": "r1", "Authorization": "Bearer gl-1"}})
+	seen := ledger.SeenRequests()[0]
+	assert.Equal(t, seen.Header.Get("Authorization"), "Bearer gl-1")
+	seen.Header = nil
+	assert.DeepEqual(t, seen, emulator.Seen{RequestID: "r1", Method: http.MethodPost, Path: "/bookings", Query: "k=v",
+		Model: "m@1", Prompt: strings.Repeat("p", 80)})
+}
+
+// Guards against a list that shows a change early, or never.
+func TestVMListLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := emulator.NewVMList(emulator.VMListConfig{Lag: 2 * time.Second})
+		h := list.Handler()
+		const vm = `{"Vm":"s1","Address":"10.0.0.7:7000","FailureDomain":"a","Role":"sidecar"}`
+		assert.Equal(t, post(h, "/vms", vm).Code, http.StatusNoContent)
+		assert.Equal(t, post(h, "/vms", `{}`).Code, http.StatusBadRequest)
+		shows := func(want string) { t.Helper(); assert.Equal(t, get(h, "/vms").Body.String(), want+"\n") }
+		const group = `[{"targets":["10.0.0.7:7000"],"labels":{"Vm":"s1","FailureDomain":"a","State":"%s","Role":"sidecar"}}]`
+		shows("[]")
+		time.Sleep(2*time.Second - time.Nanosecond)
+		shows("[]")
+		time.Sleep(time.Nanosecond)
+		shows(fmt.Sprintf(group, "live"))
+		list.Register(emulator.RegisteredVM{VM: "s1", Address: "10.0.0.7:7000", FailureDomain: "a", Role: "sidecar", State: "leaving"})
+		list.SetFaults(emulator.Faults{Lag: emulator.Duration(time.Minute)})
+		time.Sleep(59 * time.Second)
+		shows(fmt.Sprintf(group, "live"))
+		time.Sleep(time.Second)
+		shows(fmt.Sprintf(group, "leaving"))
+		list.SetFaults(emulator.Faults{})
+		assert.Equal(t, serve(h, request{method: http.MethodDelete, path: "/vms/s1"}).Code, http.StatusNoContent)
+		time.Sleep(2 * time.Second)
+		shows("[]")
+	})
+}
+
+// Guards against wrong load times: up to 8 loads at once take 0.25 s each, and more share the same total speed.
+func TestWeightsTiming(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// starts and ends are in milliseconds.
+		starts, ends []int
+	}{
+		{"one", []int{0}, []int{250}},
+		{"eight", []int{0, 0, 0, 0, 0, 0, 0, 0}, []int{250, 250, 250, 250, 250, 250, 250, 250}},
+		{"sixteen", make([]int, 16), []int{500, 500, 500, 500, 500, 500, 500, 500, 500, 500, 500, 500, 500, 500, 500, 500}},
+		// Eight loads have 50 ms left when eight more join. At half speed they need 100 ms; the others have then
+		// received 50 ms and finish the remaining 200 ms at full speed.
+		{"overlap", []int{0, 0, 0, 0, 0, 0, 0, 0, 200, 200, 200, 200, 200, 200, 200, 200},
+			[]int{300, 300, 300, 300, 300, 300, 300, 300, 500, 500, 500, 500, 500, 500, 500, 500}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				weights := emulator.NewWeights(emulator.WeightsConfig{Size: 10})
+				h := weights.Handler()
+				began := time.Now()
+				ends := make([]int, len(test.starts))
+				done := make(chan struct{})
+				for i, at := range test.starts {
+					go func() {
+						time.Sleep(time.Duration(at) * time.Millisecond)
+						if answer := get(h, "/weights/a"); answer.Code == http.StatusOK && answer.Body.Len() == 10 {
+							ends[i] = int(time.Since(began).Round(time.Millisecond) / time.Millisecond)
+						}
+						done <- struct{}{}
+					}()
+				}
+				for range test.starts {
+					<-done
+				}
+				assert.DeepEqual(t, ends, test.ends)
+				assert.Equal(t, weights.Stats(), emulator.WeightStats{Started: len(ends), Finished: len(ends), MostInFlight: len(ends)})
+			})
+		})
+	}
+}
+
+// Guards against more loads than the rate: it admits one second's worth at once, and then the rate.
+func TestWeightsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		weights := emulator.NewWeights(emulator.WeightsConfig{Rate: 3, LoadTime: time.Nanosecond})
+		h := weights.Handler()
+		for range 10 {
+			get(h, "/weights/a")
+		}
+		assert.Equal(t, weights.Stats().Started, 3)
+		assert.Equal(t, get(h, "/weights/a").Code, http.StatusTooManyRequests)
+		time.Sleep(time.Second)
+		for range 10 {
+			get(h, "/weights/a")
+		}
+		assert.Equal(t, weights.Stats().Started, 6)
+	})
+}
+
+// Guards against a stand-in that accepts requests which the real table service refuses.
+func TestTableRefusals(t *testing.T) {
+	table := emulator.NewTable(emulator.TableConfig{})
+	h := table.Handler()
+	const item = `"Item":{"Pk":{"S":"a"},"Sk":{"S":"b"},"Data":{"S":""},"Mark":{"S":""},"Version":{"N":"1"}}`
+	for _, test := range []struct{ operation, body, want string }{
+		{"PutItem", `{"TableName":"geraniumladder","ConditionExpression":"attribute_not_exists(Pk)",` + item + `}`, "{}"},
+		{"PutItem", `{"TableName":"geraniumladder","ConditionExpression":"attribute_not_exists(Pk)",` + item + `}`, "ConditionalCheckFailedException"},
+		{"PutItem", `{"TableName":"geraniumladder",` + item + `}`, "ValidationException"},
+		{"PutItem", `{"TableName":"other","ConditionExpression":"attribute_not_exists(Pk)",` + item + `}`, "ResourceNotFoundException"},
+		{"PutItem", `{"TableName":"geraniumladder","ConditionExpression":"Version = :v","ExpressionAttributeValues":{":v":{"N":"1"}},` + item + `}`, "ValidationException"},
+		{"Query", `{"TableName":"geraniumladder","KeyConditionExpression":"begins_with(Sk, :s)"}`, "ValidationException"},
+		{"UpdateItem", `{}`, "UnknownOperationException"},
+	} {
+		answer := serve(h, request{method: http.MethodPost, path: "/", body: test.body,
+			header: map[string]string{"X-Amz-Target": "DynamoDB_20120810." + test.operation}})
+		assert.Assert(t, strings.Contains(answer.Body.String(), test.want), "%s: %s", test.operation, answer.Body)
+	}
+}
+
+// Guards against a crash of the table that loses its rows.
+func TestCrashKeepsRows(t *testing.T) {
+	objects := emulator.NewObjects(emulator.ObjectsConfig{})
+	h := objects.Handler()
+	assert.Equal(t, serve(h, request{method: http.MethodPut, path: "/objects/b/k", body: "x"}).Code, http.StatusOK)
+	assert.Equal(t, post(h, "/faults/crash", "").Code, http.StatusNoContent)
+	assert.Equal(t, get(h, "/objects/b/k").Body.String(), "x")
+}
+
+// Guards against a command that prints no address, ignores its flags, or does not end.
+func TestCommands(t *testing.T) {
+	for _, args := range [][]string{
+		{"platform", "--lag", "1s"}, {"table", "--write-rate", "500"}, {"objects"}, {"weights", "--size", "7"},
+		{"vms"}, {"engine", "--slots", "2", "--resident", "a@1"}, {"ledger", "--work-time", "1ms"},
+	} {
+		t.Run(args[0], func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			reader, writer := io.Pipe()
+			command := emulator.Commands()
+			command.Writer = writer
+			done := make(chan error, 1)
+			go func() { done <- command.Run(ctx, append([]string{"standin"}, args...)) }()
+			line, err := bufio.NewReader(reader).ReadBytes('\n')
+			assert.NilError(t, err)
+			var ready struct{ Listen string }
+			assert.NilError(t, json.Unmarshal(line, &ready))
+			answer, err := http.Get(ready.Listen + "/faults")
+			assert.NilError(t, err)
+			assert.NilError(t, answer.Body.Close())
+			assert.Equal(t, answer.StatusCode, http.StatusOK)
+			cancel()
+			assert.NilError(t, <-done)
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/engine_test.go
@@ -0,0 +1,368 @@
+package emulator_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"geraniumladder/internal/emulator"
+)
+
+const adapterName = "fado@3"
+
+// withEngine runs a test in a bubble with a fake clock.
+func withEngine(t *testing.T, c emulator.EngineConfig, test func(*testing.T, *emulator.Engine, http.Handler)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		engine := emulator.NewEngine(c)
+		defer engine.Close()
+		test(t, engine, engine.Handler())
+	})
+}
+
+// complete asks for an answer without a stream and returns its text.
+func complete(t *testing.T, h http.Handler, path, body string) string {
+	t.Helper()
+	answer := post(h, path, body)
+	assert.Equal(t, answer.Code, http.StatusOK, answer.Body)
+	var out struct {
+		Choices []struct {
+			Text    string
+			Message struct{ Content string }
+		}
+	}
+	assert.NilError(t, json.Unmarshal(answer.Body.Bytes(), &out))
+	return out.Choices[0].Text + out.Choices[0].Message.Content
+}
+
+// prompt returns the body of a completion request.
+func prompt(model, text string, tokens int, more string) string {
+	quoted, err := json.Marshal(text)
+	if err != nil {
+		panic(err)
+	}
+	return fmt.Sprintf(`{"model":%q,"prompt":%s,"max_tokens":%d%s}`, model, quoted, tokens, more)
+}
+
+// Guards against a continuation on another engine that repeats or skips tokens.
+func TestAnswerContinues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model, text := rapid.String().Draw(t, "model"), rapid.String().Draw(t, "prompt")
+		n, m := rapid.IntRange(0, 20).Draw(t, "n"), rapid.IntRange(0, 20).Draw(t, "m")
+		first := emulator.Answer(model, text, n)
+		assert.Equal(t, first+emulator.Answer(model, text+first, m), emulator.Answer(model, text, n+m))
+		assert.Equal(t, len(strings.Fields(first)), n)
+	})
+}
+
+// Guards against an engine that does not answer as Answer says, in either API, or whose answer depends on its batch.
+func TestCompletionsContinue(t *testing.T) {
+	withEngine(t, emulator.EngineConfig{Resident: []string{adapterName}}, func(t *testing.T, _ *emulator.Engine, h http.Handler) {
+		const text = "Broken rosary,\n\"55\" beads & <hook>"
+		whole := complete(t, h, "/v1/completions", prompt(adapterName, text, 12, ""))
+		assert.Equal(t, whole, emulator.Answer(adapterName, text, 12))
+		assert.Assert(t, whole != complete(t, h, "/v1/completions", prompt("base", text, 12, "")))
+		first := complete(t, h, "/v1/completions", prompt(adapterName, text, 5, ""))
+		assert.Equal(t, first+complete(t, h, "/v1/completions", prompt(adapterName, text+first, 7, "")), whole)
+
+		chat := func(messages string, tokens int, more string) string {
+			return complete(t, h, "/v1/chat/completions", fmt.Sprintf(`{"model":%q,"messages":[%s],"max_tokens":%d%s}`, adapterName, messages, tokens, more))
+		}
+		const asked = `{"role":"system","content":"s"},{"role":"user","content":[{"type":"text","text":"hi"}]}`
+		whole = chat(asked, 9, "")
+		assert.Equal(t, whole, emulator.Answer(adapterName, emulator.ChatPrompt(false, [2]string{"system", "s"}, [2]string{"user", "hi"}), 9))
+		first = chat(asked, 4, "")
+		rest := chat(asked+fmt.Sprintf(`,{"role":"assistant","content":%q}`, first), 5, `,"continue_final_message":true,"add_generation_prompt":false`)
+		assert.Equal(t, first+rest, whole)
+	})
+}
+
+// cutAfter is an answer whose client closes the connection once n events have arrived.
+type cutAfter struct {
+	*httptest.ResponseRecorder
+
+	events int
+	cancel context.CancelFunc
+}
+
+func (w *cutAfter) Write(p []byte) (int, error) {
+	n, err := w.ResponseRecorder.Write(p)
+	if strings.Count(w.Body.String(), "\n\n") >= w.events {
+		w.cancel()
+	}
+	return n, err
+}
+
+// streamUntil reads a stream and closes the connection after some events; it returns the events.
+func streamUntil(h http.Handler, q request, events int) []string {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := &cutAfter{ResponseRecorder: httptest.NewRecorder(), events: events, cancel: cancel}
+	r := httptest.NewRequestWithContext(ctx, q.method, q.path, strings.NewReader(q.body))
+	for name, value := range q.header {
+		r.Header.Set(name, value)
+	}
+	h.ServeHTTP(w, r)
+	return strings.Split(strings.TrimSuffix(w.Body.String(), "\n\n"), "\n\n")
+}
+
+const allEvents = 1 << 20
+
+func startStream(h http.Handler, id string, tokens, events int) []string {
+	return streamUntil(h, request{method: http.MethodPost, path: "/v1/completions",
+		body: prompt(adapterName, "p", tokens, `,"stream":true`), header: map[string]string{"X-Request-Id": id}}, events)
+}
+
+func resumeStream(h http.Handler, id string, last, events int) []string {
+	return streamUntil(h, request{method: http.MethodGet, path: "/v1/streams/" + id,
+		header: map[string]string{"Last-Event-ID": fmt.Sprint(last)}}, events)
+}
+
+// Guards against a stream in a form that OpenAI clients do not read.
+func TestStreamForm(t *testing.T) {
+	withEngine(t, emulator.EngineConfig{Resident: []string{adapterName}}, func(t *testing.T, _ *emulator.Engine, h http.Handler) {
+		events := startStream(h, "r1", 3, allEvents)
+		assert.Equal(t, len(events), 5)
+		assert.Equal(t, events[4], "data: [DONE]")
+		text := ""
+		for i, event := range events[:4] {
+			data, ok := strings.CutPrefix(event, fmt.Sprintf("id: %d\ndata: ", i+1))
+			assert.Assert(t, ok, event)
+			var chunk struct {
+				ID, Object, Model string
+				Choices           []struct {
+					Text         string
+					FinishReason *string `json:"finish_reason"`
+				}
+				Usage *struct {
+					CompletionTokens int `json:"completion_tokens"`
+				}
+			}
+			assert.NilError(t, json.Unmarshal([]byte(data), &chunk))
+			assert.Equal(t, chunk.ID+" "+chunk.Object+" "+chunk.Model, "r1 text_completion "+adapterName)
+			if i == 3 {
+				assert.Equal(t, len(chunk.Choices), 0)
+				assert.Equal(t, chunk.Usage.CompletionTokens, 3)
+				break
+			}
+			text += chunk.Choices[0].Text
+			assert.Equal(t, chunk.Choices[0].FinishReason != nil, i == 2)
+		}
+		assert.Equal(t, text, emulator.Answer(adapterName, "p", 3))
+	})
+}
+
+// Guards against a resumed stream that repeats or lacks an event, wherever and however often it was cut.
+func TestResume(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		tokens := rapid.IntRange(1, 8).Draw(r, "tokens")
+		cuts := rapid.SliceOfN(rapid.IntRange(1, 4), 1, 6).Draw(r, "cuts")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 40), 6, 6).Draw(r, "pauses")
+		withEngine(t, emulator.EngineConfig{Resident: []string{adapterName}}, func(_ *testing.T, _ *emulator.Engine, h http.Handler) {
+			want := startStream(h, "whole", tokens, allEvents)
+			got := startStream(h, "cut", tokens, cuts[0])
+			for i, cut := range append(cuts[1:], allEvents) {
+				if len(got) > tokens {
+					break
+				}
+				time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
+				got = append(got, resumeStream(h, "cut", len(got), cut)...)
+			}
+			assert.Equal(r, strings.ReplaceAll(strings.Join(got, "|"), `"cut"`, `"whole"`), strings.Join(want[:len(got)], "|"))
+			assert.Assert(r, len(got) > tokens, "%d events for %d tokens", len(got), tokens)
+		})
+	})
+}
+
+// Guards against requests that go on for ever without a connection, or streams that are forgotten too early.
+func TestDetachedAndKept(t *testing.T) {
+	withEngine(t, emulator.EngineConfig{Resident: []string{adapterName}, StepTime: time.Second}, func(t *testing.T, engine *emulator.Engine, h http.Handler) {
+		last := func(events []string) string { return events[len(events)-1] }
+		startStream(h, "r1", 30, 2)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, last(resumeStream(h, "r1", 2, 5)[:1])[:6], "id: 3\n")
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, strings.Contains(last(resumeStream(h, "r1", 2, allEvents)), "no connection was left"))
+		tokens := engine.Stats().Tokens
+		assert.Assert(t, tokens < 20, "%d tokens after the connection was closed", tokens)
+
+		startStream(h, "r2", 2, allEvents)
+		time.Sleep(50 * time.Second)
+		assert.Equal(t, last(resumeStream(h, "r2", 3, allEvents)), "data: [DONE]")
+		time.Sleep(11 * time.Second)
+		assert.Equal(t, get(h, "/v1/streams/r2").Code, http.StatusNotFound)
+
+		startStream(h, "r3", 30, 1)
+		cancel := request{method: http.MethodDelete, path: "/v1/streams/r3"}
+		assert.Equal(t, serve(h, cancel).Body.String(), "{\"Cancelled\":true}\n")
+		assert.Equal(t, serve(h, cancel).Body.String(), "{\"Cancelled\":false}\n")
+		assert.Assert(t, strings.Contains(last(resumeStream(h, "r3", 1, allEvents)), "cancelled"))
+	})
+}
+
+func load(h http.Handler, name string) int {
+	return post(h, "/v1/load_lora_adapter", fmt.Sprintf(`{"lora_name":%q,"lora_path":"adapters/%s"}`, name, name)).Code
+}
+
+func unload(h http.Handler, name string) int {
+	return post(h, "/v1/unload_lora_adapter", fmt.Sprintf(`{"lora_name":%q}`, name)).Code
+}
+
+// Guards against an engine with more adapters than slots, and against unloads in use that pass unnoticed.
+func TestSlots(t *testing.T) {
+	withEngine(t, emulator.EngineConfig{Slots: 2, LoadTime: time.Second}, func(t *testing.T, engine *emulator.Engine, h http.Handler) {
+		first := start(h, request{method: http.MethodPost, path: "/v1/load_lora_adapter", body: `{"lora_name":"a","lora_path":"a"}`})
+		synctest.Wait()
+		assert.Equal(t, post(h, "/v1/completions", prompt("a", "p", 1, "")).Code, http.StatusNotFound, "the adapter is still loading")
+		assert.Equal(t, load(h, "a"), http.StatusBadRequest)
+		assert.Equal(t, load(h, "b"), http.StatusOK)
+		assert.Equal(t, <-first, http.StatusOK)
+		assert.Equal(t, load(h, "c"), http.StatusBadRequest)
+		assert.Equal(t, unload(h, "c"), http.StatusNotFound)
+		assert.Equal(t, unload(h, "a"), http.StatusOK)
+		assert.Equal(t, load(h, "c"), http.StatusOK)
+		assert.DeepEqual(t, engine.Resident(), []string{"b", "c"})
+		assert.Equal(t, engine.Stats().UnloadedInUse, 0)
+
+		running := start(h, request{method: http.MethodPost, path: "/v1/completions", body: prompt("b", "p", 100, "")})
+		synctest.Wait()
+		metrics := get(h, "/metrics").Body.String()
+		for _, line := range []string{
+			`vllm:num_requests_running{model_name="base"} 1`, `running_lora_adapters="b"`, `vllm:lora_resident_info{lora_name="c"} 1`,
+		} {
+			assert.Assert(t, strings.Contains(metrics, line), metrics)
+		}
+		assert.Equal(t, unload(h, "b"), http.StatusOK)
+		assert.Equal(t, <-running, http.StatusInternalServerError)
+		assert.Equal(t, engine.Stats().UnloadedInUse, 1)
+
+		engine.SetFaults(emulator.Faults{LoadFailRate: 1})
+		assert.Equal(t, load(h, "d"), http.StatusInternalServerError)
+		assert.DeepEqual(t, engine.Resident(), []string{"c"})
+	})
+}
+
+// Guards against an engine that keeps its adapters, streams or fencing number over a restart, and against a load
+// that was under way and takes effect after it.
+func TestCrash(t *testing.T) {
+	withEngine(t, emulator.EngineConfig{Resident: []string{adapterName}, ChecksFence: true, LoadTime: time.Second}, func(t *testing.T, engine *emulator.Engine, h http.Handler) {
+		assert.Equal(t, fenced(h, "x", 9), http.StatusNotFound)
+		running := start(h, request{method: http.MethodPost, path: "/v1/completions", body: prompt(adapterName, "p", 1000, ""),
+			header: map[string]string{"X-Request-Id": "r1"}})
+		loading := start(h, request{method: http.MethodPost, path: "/v1/load_lora_adapter", body: `{"lora_name":"a","lora_path":"a"}`})
+		synctest.Wait()
+		engine.Crash()
+		assert.Equal(t, <-running, aborted)
+		assert.Equal(t, <-loading, aborted)
+		assert.DeepEqual(t, engine.Resident(), []string{})
+		assert.Equal(t, get(h, "/v1/streams/r1").Code, http.StatusNotFound)
+		assert.Equal(t, fenced(h, "x", 1), http.StatusNotFound)
+	})
+}
+
+// fenced sends an order with a fencing number. An accepted order to unload an unknown adapter answers 404.
+func fenced(h http.Handler, name string, number int) int {
+	return serve(h, request{method: http.MethodPost, path: "/v1/unload_lora_adapter", body: fmt.Sprintf(`{"lora_name":%q}`, name),
+		header: map[string]string{"Geraniumladder-Fence": fmt.Sprint(number)}}).Code
+}
+
+// Guards against an engine that obeys an order of a former holder, and against one that checks although it is set not to.
+func TestFence(t *testing.T) {
+	for _, test := range []struct {
+		checks, ignore bool
+		stale          int
+	}{{true, false, http.StatusPreconditionFailed}, {true, true, http.StatusNotFound}, {false, false, http.StatusNotFound}} {
+		withEngine(t, emulator.EngineConfig{ChecksFence: test.checks}, func(t *testing.T, engine *emulator.Engine, h http.Handler) {
+			engine.SetFaults(emulator.Faults{IgnoreFence: test.ignore})
+			assert.Equal(t, fenced(h, "x", 4), http.StatusNotFound)
+			assert.Equal(t, fenced(h, "x", 4), http.StatusNotFound, "the same holder may give several orders")
+			assert.Equal(t, fenced(h, "x", 3), test.stale)
+			assert.Equal(t, fenced(h, "x", 5), http.StatusNotFound)
+			assert.Equal(t, unload(h, "x"), http.StatusNotFound, "an order without a number is accepted")
+			stats := engine.Stats()
+			assert.Equal(t, stats.FenceRefused+stats.FenceIgnored, 1)
+		})
+	}
+}
+
+// Guards against wrong batching: at most MaxRunning at once, by priority, slower with more adapters and with prompts
+// that are not cached.
+func TestBatches(t *testing.T) {
+	config := emulator.EngineConfig{Resident: []string{"a", "b"}, MaxRunning: 2, StepTime: 100 * time.Millisecond,
+		AdapterCost: 0.5, PrefillTokenTime: time.Millisecond}
+	withEngine(t, config, func(t *testing.T, engine *emulator.Engine, h http.Handler) {
+		began := time.Now()
+		// run starts an answer of n tokens and delivers the milliseconds at its end.
+		run := func(model, text string, n, priority int) <-chan int64 {
+			done := make(chan int64, 1)
+			go func() {
+				post(h, "/v1/completions", prompt(model, text, n, fmt.Sprintf(`,"priority":%d`, priority)))
+				done <- time.Since(began).Milliseconds()
+			}()
+			synctest.Wait()
+			return done
+		}
+		// Four requests of one model, two at a time; the one with the smallest priority value goes first.
+		first, second := run("a", "p", 10, 0), run("a", "p", 10, 0)
+		late, early := run("a", "p", 10, 5), run("a", "p", 9, 1)
+		<-first
+		<-second
+		assert.Assert(t, <-early < <-late)
+		// The first request is alone in step 1, so the second, 10 tokens, ends with step 11 and the last one with step 21.
+		assert.Equal(t, engine.Stats().Steps, 21)
+
+		began = time.Now()
+		one, two := run("a", "p", 10, 0), run("b", "p", 10, 0)
+		<-one
+		alone := <-two
+		// The first step has only one model: 100 ms and 1 ms prefill. In the other steps each of two models costs 150 ms.
+		assert.Assert(t, alone > 10*145, "took %d ms", alone)
+
+		words := strings.Repeat("word ", 160)
+		began = time.Now()
+		assert.Equal(t, <-run("a", words, 1, 0), int64(100+160))
+		began = time.Now()
+		assert.Equal(t, <-run("a", words, 1, 0), int64(100+1), "the prefix is cached")
+		began = time.Now()
+		assert.Equal(t, <-run("b", words, 1, 0), int64(100+160), "the prefix is cached for another adapter")
+		assert.Equal(t, engine.Stats().CachedTokens, 160)
+	})
+}
+
+// Guards against metrics that are fresher than the lag allows for.
+func TestMetricsLag(t *testing.T) {
+	withEngine(t, emulator.EngineConfig{}, func(t *testing.T, engine *emulator.Engine, h http.Handler) {
+		engine.SetFaults(emulator.Faults{Lag: emulator.Duration(time.Minute)})
+		shows := func(name string) bool { return strings.Contains(get(h, "/metrics").Body.String(), name) }
+		assert.Assert(t, !shows("fresh"))
+		assert.Equal(t, load(h, "fresh"), http.StatusOK)
+		assert.Assert(t, !shows("fresh"))
+		time.Sleep(time.Minute)
+		assert.Assert(t, shows("fresh"))
+	})
+}
+
+// Guards against an engine that does not fetch the adapter, or counts a failed fetch as a load.
+func TestLoadFromWeightStore(t *testing.T) {
+	platform := emulator.NewPlatform(emulator.PlatformConfig{Weights: emulator.WeightsConfig{LoadTime: time.Millisecond}})
+	server := httptest.NewServer(platform.Handler())
+	defer server.Close()
+	engine := emulator.NewEngine(emulator.EngineConfig{WeightsURL: server.URL})
+	defer engine.Close()
+	h := engine.Handler()
+	assert.Equal(t, load(h, "a"), http.StatusOK)
+	assert.Equal(t, platform.Weights.Stats().Finished, 1)
+	assert.Equal(t, platform.Weights.SeenRequests()[0].Path, "/weights/adapters/a")
+	platform.Weights.SetFaults(emulator.Faults{FailNext: 1})
+	assert.Equal(t, load(h, "b"), http.StatusInternalServerError)
+	assert.DeepEqual(t, engine.Resident(), []string{"a"})
+}
--- a/internal/emulator/vmlist.go
+++ b/internal/emulator/vmlist.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"encoding/json"
 	"maps"
 	"net/http"
 	"slices"
@@ -68,7 +69,7 @@
 	e.GET("/vms", func(x echo.Context) error { return x.JSON(http.StatusOK, l.groups(time.Now())) }, l.wrap)
 	e.POST("/vms", func(x echo.Context) error {
 		var vm RegisteredVM
-		if err := x.Bind(&vm); err != nil || vm.VM == "" || vm.Address == "" {
+		if err := json.NewDecoder(x.Request().Body).Decode(&vm); err != nil || vm.VM == "" || vm.Address == "" {
 			return x.JSON(http.StatusBadRequest, failure(http.StatusBadRequest, "give a JSON object with at least Vm and Address"))
 		}
 		l.Register(vm)
