--- a/internal/emulator/engine_test.go
+++ b/internal/emulator/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -167,9 +170,11 @@
 		tokens := rapid.IntRange(1, 8).Draw(r, "tokens")
 		cuts := rapid.SliceOfN(rapid.IntRange(1, 4), 1, 6).Draw(r, "cuts")
 		pauses := rapid.SliceOfN(rapid.IntRange(0, 40), 6, 6).Draw(r, "pauses")
+		// The property is checked outside the bubble, because a failing rapid check may not leave it early.
+		var want, got []string
 		withEngine(t, emulator.EngineConfig{Resident: []string{adapterName}}, func(_ *testing.T, _ *emulator.Engine, h http.Handler) {
-			want := startStream(h, "whole", tokens, allEvents)
-			got := startStream(h, "cut", tokens, cuts[0])
+			want = startStream(h, "whole", tokens, allEvents)
+			got = startStream(h, "cut", tokens, cuts[0])
 			for i, cut := range append(cuts[1:], allEvents) {
 				if len(got) > tokens {
 					break
@@ -177,9 +182,9 @@
 				time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
 				got = append(got, resumeStream(h, "cut", len(got), cut)...)
 			}
-			assert.Equal(r, strings.ReplaceAll(strings.Join(got, "|"), `"cut"`, `"whole"`), strings.Join(want[:len(got)], "|"))
-			assert.Assert(r, len(got) > tokens, "%d events for %d tokens", len(got), tokens)
 		})
+		assert.Assert(r, len(got) > tokens && len(got) <= len(want), "%d events for %d tokens", len(got), tokens)
+		assert.Equal(r, strings.ReplaceAll(strings.Join(got, "|"), `"cut"`, `"whole"`), strings.Join(want[:len(got)], "|"))
 	})
 }
 
@@ -366,3 +371,32 @@
 	assert.Equal(t, load(h, "b"), http.StatusInternalServerError)
 	assert.DeepEqual(t, engine.Resident(), []string{"a"})
 }
+
+// Guards against answers that a client of the OpenAI API cannot read.
+func TestOpenAIClient(t *testing.T) {
+	engine := emulator.NewEngine(emulator.EngineConfig{Resident: []string{adapterName}})
+	defer engine.Close()
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	client := openai.NewClient(option.WithBaseURL(server.URL+"/v1"), option.WithAPIKey("none"), option.WithMaxRetries(0))
+	params := openai.ChatCompletionNewParams{
+		Model: adapterName, MaxTokens: openai.Int(6), Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("price?")},
+	}
+	want := emulator.Answer(adapterName, emulator.ChatPrompt(false, [2]string{"user", "price?"}), 6)
+	whole, err := client.Chat.Completions.New(t.Context(), params)
+	assert.NilError(t, err)
+	assert.Equal(t, whole.Choices[0].Message.Content, want)
+	stream := client.Chat.Completions.NewStreaming(t.Context(), params)
+	var all openai.ChatCompletionAccumulator
+	for stream.Next() {
+		assert.Assert(t, all.AddChunk(stream.Current()))
+	}
+	assert.NilError(t, stream.Err())
+	assert.Equal(t, all.Choices[0].Message.Content, want)
+	assert.Equal(t, all.Usage.CompletionTokens, int64(6))
+	params.Model = "absent@1"
+	_, err = client.Chat.Completions.New(t.Context(), params)
+	refused := new(openai.Error)
+	assert.Assert(t, errors.As(err, &refused))
+	assert.Equal(t, refused.StatusCode, http.StatusNotFound)
+}
