--- a/internal/launcher/commands.go
+++ b/internal/launcher/commands.go
@@ -58,15 +58,15 @@
 			UsageText: "geraniumladder settings --role entry > entry.yaml",
 			Flags:     []cli.Flag{&cli.StringFlag{Name: "role", Usage: "entry or sidecar", Value: "entry"}},
 			Action: func(_ context.Context, c *cli.Command) error {
-				switch role := c.String("role"); role {
-				case "entry":
-					fmt.Fprint(c.Root().Writer, configurer.Describe[configurer.Entry]())
-				case "sidecar":
-					fmt.Fprint(c.Root().Writer, configurer.Describe[configurer.Sidecar]())
-				default:
-					return errors.Newf("there is no role %q; give entry or sidecar", role)
+				texts := map[string]func() string{
+					"entry": configurer.Describe[configurer.Entry], "sidecar": configurer.Describe[configurer.Sidecar],
 				}
-				return nil
+				describe, known := texts[c.String("role")]
+				if !known {
+					return errors.Newf("there is no role %q; give entry or sidecar", c.String("role"))
+				}
+				_, err := fmt.Fprint(c.Root().Writer, describe())
+				return err
 			},
 		},
 	}
--- a/internal/launcher/demo.go
+++ b/internal/launcher/demo.go
@@ -90,6 +90,24 @@
 	listener net.Listener
 }
 
+// Announcement is what the demo prints when it is ready.
+func (d *Demo) Announcement() DemoAnnouncement { return d.announcement }
+
+// Entries are the demo's entries.
+func (d *Demo) Entries() []*Entry { return d.entries }
+
+// Sidecars are the demo's sidecars, those of the model engines first.
+func (d *Demo) Sidecars() []*Sidecar { return d.sidecars }
+
+// Engines are the stand-ins of the model engines, in the order of their sidecars.
+func (d *Demo) Engines() []*emulator.Engine { return d.engines }
+
+// Platform is the stand-in of the platform.
+func (d *Demo) Platform() *emulator.Platform { return d.platform }
+
+// Ready reports whether every entry has the configuration and knows every endpoint.
+func (d *Demo) Ready() bool { return d.ready() }
+
 // NewDemo opens all listeners and assembles the processes.
 func NewDemo(c DemoConfig) (*Demo, error) {
 	d := &Demo{config: c}
@@ -247,6 +265,9 @@
 	err = errors.Join(err, collect(entryEnds, len(d.entries)))
 	stopSidecars()
 	err = errors.Join(err, collect(sidecarEnds, len(d.sidecars)))
+	for _, e := range d.engines {
+		e.Close()
+	}
 	stopStandIns()
 	return errors.Join(err, <-standInsEnd, <-watchEnd)
 }
@@ -324,4 +345,3 @@
 	}
 	return true
 }
-
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -157,7 +157,7 @@
 	addServer(&g, messenger.NewServer(messenger.ServerConfig{Handler: e.router.Handler(), HTTP1: true}), e.callers)
 	addServer(&g, messenger.NewServer(messenger.ServerConfig{Handler: e.router.PeerHandler(), HTTP1: true}), e.peers)
 	addWork(&g, e.router.Run)
-	e.addStop(&g, ctx, e.settings.StopTimeout, e.router.Drain)
+	e.addStop(ctx, &g, e.settings.StopTimeout, e.router.Drain)
 	e.log.Info().Str("Callers", e.URL()).Str("Peers", e.advertise).Msg("entry: started")
 	return e.finish(g.Run())
 }
@@ -192,7 +192,7 @@
 	var g run.Group
 	addServer(&g, messenger.NewServer(messenger.ServerConfig{Handler: s.dispatcher.Handler(), HTTP1: true}), s.peers)
 	addWork(&g, s.dispatcher.Run)
-	s.addStop(&g, ctx, s.settings.StopTimeout, s.dispatcher.Leave)
+	s.addStop(ctx, &g, s.settings.StopTimeout, s.dispatcher.Leave)
 	s.log.Info().Str("Peers", s.advertise).Str("Endpoint", s.settings.Endpoint.URL).Msg("sidecar: started")
 	return s.finish(g.Run())
 }
@@ -251,7 +251,7 @@
 }
 
 // addStop waits for ctx to end and then performs the planned stop, while the rest of the group goes on.
-func (c *common) addStop(g *run.Group, ctx context.Context, timeout time.Duration, stop func(context.Context) error) {
+func (c *common) addStop(ctx context.Context, g *run.Group, timeout time.Duration, stop func(context.Context) error) {
 	abort, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
 		select {
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -466,6 +466,8 @@
 	messages     []json.RawMessage
 	maxTokens    int
 	promptTokens int
+	// received counts the tokens of the answer so far.
+	received int
 }
 
 // parseModelRequest checks the body of a completion request.
--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -115,7 +115,7 @@
 		return nil
 	})
 	switch {
-	case contended || failure == errVoided: //nolint:errorlint // callErrors are compared by identity.
+	case contended || failure == errVoided:
 		return nil, true
 	case failure == nil:
 		r.keepAnswer(ctx, &c, sink)
@@ -268,10 +268,10 @@
 
 // joinClaim gets the answer of a call that another request has sent, from the sidecar that has it.
 func (r *Router) joinClaim(ctx context.Context, cl *call, c claim, mine claimer.Claim, sink *serviceSink) (failure *callError, again bool) {
-	d := dispatch{}
+	d := dispatch{runID: c.row.RequestID}
 	d.endpoint.VM, d.endpoint.Address, d.endpoint.Incarnation = c.row.Endpoint, c.row.Address, c.row.Incarnation
 	sink.w.Header().Set(replayedHeader, c.row.RequestID)
-	resp, res := r.join(ctx, cl, c.row.Address, c.row.Incarnation, c.row.RequestID, 0)
+	resp, res := r.join(ctx, c.row.Address, c.row.Incarnation, c.row.RequestID, 0) //nolint:bodyclose // readService closes it.
 	if resp != nil {
 		res = r.readService(resp, cl, &d, sink)
 	}
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -51,6 +52,8 @@
 	attempt  int
 	permit   string
 	claimKey string
+	// runID is the request ID that the run has at the sidecar; the call's own when empty.
+	runID string
 	// bytes of the body that have been taken, by which a join on a new connection continues.
 	bytes int64
 }
@@ -195,7 +198,7 @@
 		return r.withOutcome(unavailable("no_endpoint", "no endpoint could run the request; send it again"), hasRun)
 	}
 	if res.refused != nil {
-		switch res.refused.Code {
+		switch res.refused.Code { //nolint:exhaustive // The others mean that the endpoint failed.
 		case wire.RunErrorCodeBadRequest:
 			return invalid(http.StatusBadRequest, "rejected_by_endpoint", "%s", res.refused.Message)
 		case wire.RunErrorCodeNeedsPermit:
@@ -248,7 +251,7 @@
 	if err != nil {
 		return &result{failure: invalid(http.StatusBadRequest, "bad_json", "the body cannot be encoded again: %v", err)}
 	}
-	resp, res := r.send(ctx, cl, d, body)
+	resp, res := r.send(ctx, cl, d, body) //nolint:bodyclose // readStream closes it.
 	for rejoined := false; ; rejoined = true {
 		if resp != nil {
 			release()
@@ -263,7 +266,7 @@
 			return res
 		}
 		// The connection broke while the sidecar may be well: the run goes on there.
-		resp, res = r.join(ctx, cl, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl), d.bytes)
+		resp, res = r.join(ctx, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl), d.bytes) //nolint:bodyclose // As above.
 	}
 }
 
@@ -322,7 +325,7 @@
 }
 
 // join asks a sidecar for the rest of a run's answer, on another connection if the last one broke.
-func (r *Router) join(ctx context.Context, cl *call, address, incarnation, key string, from int64) (*http.Response, *result) {
+func (r *Router) join(ctx context.Context, address, incarnation, key string, from int64) (*http.Response, *result) {
 	body, err := json.Marshal(wire.JoinRequest{RequestID: key, Incarnation: incarnation})
 	if err != nil {
 		return nil, &result{failure: invalid(http.StatusBadRequest, "bad_request", "the join cannot be encoded: %v", err)}
@@ -404,7 +407,7 @@
 			return &result{refused: &refused}
 		}
 	}
-	if err == nil && complete && resp.Trailer.Get(dispatcher.EndTrailer) != "" {
+	if err == nil && complete && resp.Trailer.Get(dispatcher.EndTrailer) == cmp.Or(d.runID, cl.id) {
 		return nil
 	}
 	return &result{}
@@ -431,12 +434,13 @@
 			return failure
 		}
 		d := dispatch{endpoint: endpoint, decision: decision, attempt: attempt}
-		resp, res := r.send(ctx, cl, &d, cl.body)
+		resp, res := r.send(ctx, cl, &d, cl.body) //nolint:bodyclose // readService closes it.
 		if resp != nil {
 			res = r.readService(resp, cl, &d, sink)
 		}
 		if res != nil && sink.started && res.refused == nil {
-			if resp, res = r.join(ctx, cl, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl), sink.bytes); resp != nil {
+			resp, res = r.join(ctx, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl), sink.bytes) //nolint:bodyclose // As above.
+			if resp != nil {
 				res = r.readService(resp, cl, &d, sink)
 			}
 		}
@@ -510,7 +514,7 @@
 var errVoided = unavailable("voided", "the call was taken over by a retry; send it again")
 
 func (r *Router) sendOnce(ctx context.Context, cl *call, d *dispatch, sink *serviceSink) *result {
-	resp, res := r.send(ctx, cl, d, cl.body)
+	resp, res := r.send(ctx, cl, d, cl.body) //nolint:bodyclose // readService closes it.
 	if resp != nil {
 		res = r.readService(resp, cl, d, sink)
 	}
@@ -528,7 +532,7 @@
 		known.Void = r.void(ctx, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl))
 	}
 	if known.Void == claimer.VoidRunning || known.Void == claimer.VoidDone {
-		resp, again := r.join(ctx, cl, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl), sink.bytes)
+		resp, again := r.join(ctx, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl), sink.bytes)
 		if resp != nil {
 			again = r.readService(resp, cl, &d, sink)
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -254,8 +254,8 @@
 
 func (r *Router) adopt(revision merger.Revision) {
 	limits := map[string]limiter.Config{}
-	for name, o := range revision.Items().Organisations {
-		limits[name] = limiter.Config{Rate: o.Rate, Burst: o.Burst}
+	for o := range revision.Organisations() {
+		limits[o.Name] = limiter.Config{Rate: o.Rate, Burst: o.Burst}
 	}
 	r.config.Lender.SetOrganisations(limits)
 	r.mu.Lock()
