--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -93,6 +93,18 @@
 	return p.again
 }
 
+// quiet says whether no push is under way.
+func (l *entryList) quiet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		if p.busy {
+			return false
+		}
+	}
+	return true
+}
+
 // push sends the news to all entries and returns at once; the pushes end by themselves within heartbeatTimeout.
 func (d *Dispatcher) push() {
 	for _, p := range d.entries.all() {
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -248,6 +248,19 @@
 	return first
 }
 
+// awaitPushes waits until each entry in reach has been told.
+func (d *Dispatcher) awaitPushes(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	for !d.entries.quiet() {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // spawn starts work in a goroutine of its own, which reports its end on d.ends; collect reads it.
 func (d *Dispatcher) spawn(work func(ctx context.Context)) {
 	d.spawned.Add(1)
@@ -302,6 +315,7 @@
 	}
 	d.log.Info().Msg("sidecar: leaving")
 	d.push()
+	d.awaitPushes(ctx)
 	d.tick()
 	select {
 	case <-d.idle:
