--- a/internal/launcher/demo_test.go
+++ b/internal/launcher/demo_test.go
@@ -47,7 +47,10 @@
 	t.Cleanup(func() {
 		cancel()
 		f.client.CloseIdleConnections()
-		<-f.ended
+		// A fleet with killed processes ends with their errors.
+		if err := <-f.ended; err != nil {
+			t.Log(err)
+		}
 	})
 	f.eventually("the fleet is ready", d.Ready)
 	return f
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/labstack/echo/v4"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"geraniumladder/internal/authenticator"
 	"geraniumladder/internal/messenger"
@@ -87,7 +88,7 @@
 			_ = c.Close()
 		}
 		_ = server.Close()
-		<-ended
+		assert.Check(t, cmp.ErrorIs(<-ended, http.ErrServerClosed))
 	}
 	return l
 }
@@ -144,7 +145,10 @@
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
-	defer func() { _ = server.Close(); <-ended }()
+	defer func() {
+		_ = server.Close()
+		assert.Check(t, cmp.ErrorIs(<-ended, http.ErrServerClosed))
+	}()
 	for _, header := range []string{"", "Bearer gl-key", "1.0"} {
 		req, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+"/peer/test", nil)
 		assert.NilError(t, err)
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -76,19 +76,44 @@
 	failure *callError
 }
 
-// exclusion collects what a request has learned about endpoints.
-type exclusion struct {
+// history collects what a request has met on its dispatches so far.
+type history struct {
+	// tried names the endpoints to avoid.
 	tried []string
 	// loadFailed counts failed loads; one retry elsewhere is allowed.
 	loadFailed int
+	// outcome is what can be said if the request is given up now. It goes from notRun over unknown to ran, and
+	// never back, because a later dispatch does not undo an earlier one.
+	outcome claimer.Outcome
+}
+
+// learn takes in how a dispatch ended; hasRun says that a part of the answer has come.
+func (h *history) learn(res result, hasRun bool) {
+	switch {
+	case hasRun || h.outcome == ran || res.refused != nil && res.refused.Outcome == wire.RunErrorOutcomeRan:
+		h.outcome = ran
+	case res.neverOpened || res.failure != nil || res.refused != nil && res.refused.Outcome == wire.RunErrorOutcomeNotRun:
+	default:
+		h.outcome = unknown
+	}
+}
+
+// given returns a refusal with the outcome that the history allows.
+func (h *history) given(failure *callError) *callError {
+	if failure.outcome != notRun || h.outcome == notRun || h.outcome == "" {
+		return failure
+	}
+	corrected := *failure
+	corrected.outcome = h.outcome
+	return &corrected
 }
 
 // choose picks an endpoint and records the request there. It waits for one if none can take the request now.
-func (r *Router) choose(ctx context.Context, cl *call, ex *exclusion) (placer.Endpoint, placer.Decision, *callError) {
+func (r *Router) choose(ctx context.Context, cl *call, h *history) (placer.Endpoint, placer.Decision, *callError) {
 	request := r.placeRequest(cl)
 	until := r.now().Add(min(endpointWait, cl.remaining(r.now())))
 	for {
-		request.Exclude = ex.tried
+		request.Exclude = h.tried
 		r.mu.Lock()
 		now := r.elapsed()
 		decision, err := placer.Choose(placer.ExpectedTime{}, r.view, request, r.rng, now)
@@ -100,12 +125,12 @@
 		}
 		r.mu.Unlock()
 		if r.now().After(until) {
-			return placer.Endpoint{}, placer.Decision{}, unavailable("no_endpoint", err.Error())
+			return placer.Endpoint{}, placer.Decision{}, h.given(unavailable("no_endpoint", err.Error()))
 		}
 		// Every endpoint has been tried: begin again, since their states may have changed.
-		ex.tried = nil
+		h.tried = nil
 		if failure := r.pause(ctx, endpointPoll); failure != nil {
-			return placer.Endpoint{}, placer.Decision{}, failure
+			return placer.Endpoint{}, placer.Decision{}, h.given(failure)
 		}
 	}
 }
@@ -151,11 +176,11 @@
 // forwardModel runs a model request, on another endpoint if one fails, and continues a broken stream from what has been
 // sent.
 func (r *Router) forwardModel(ctx context.Context, cl *call, sink *modelSink) *callError {
-	var ex exclusion
+	var h history
 	for attempt := 1; ; attempt++ {
-		endpoint, decision, failure := r.choose(ctx, cl, &ex)
+		endpoint, decision, failure := r.choose(ctx, cl, &h)
 		if failure != nil {
-			return r.withOutcome(failure, sink.tokens > 0)
+			return failure
 		}
 		d := dispatch{endpoint: endpoint, decision: decision, attempt: attempt}
 		res := r.runModel(ctx, cl, &d, sink)
@@ -163,39 +188,26 @@
 			sink.end()
 			return nil
 		}
-		if failure := r.consider(ctx, cl, &ex, d, *res, sink.tokens > 0); failure != nil {
-			return failure
-		}
+		h.learn(*res, sink.tokens > 0)
 		if sink.tokens > 0 && !cl.model.plain {
 			return failed(http.StatusBadGateway, ran, "stream_broken", "the stream broke off and cannot be continued; send the request again")
 		}
+		if failure := r.consider(ctx, cl, &h, d, *res); failure != nil {
+			return h.given(failure)
+		}
 		sink.restart()
 	}
 }
 
-// withOutcome corrects a refusal for a request that had run in part before.
-func (r *Router) withOutcome(failure *callError, hasRun bool) *callError {
-	if hasRun && failure.outcome == notRun {
-		corrected := *failure
-		corrected.outcome = ran
-		return &corrected
-	}
-	return failure
-}
-
 // consider decides about a dispatch that did not bring the whole answer: nil means to try again.
-func (r *Router) consider(ctx context.Context, cl *call, ex *exclusion, d dispatch, res result, hasRun bool) *callError {
-	outcome := notRun
-	if hasRun {
-		outcome = ran
-	}
+func (r *Router) consider(ctx context.Context, cl *call, h *history, d dispatch, res result) *callError {
 	switch {
 	case ctx.Err() != nil:
-		return r.ended(ctx, outcome)
+		return r.ended(ctx, notRun)
 	case res.failure != nil:
 		return res.failure
 	case d.attempt >= maxDispatches:
-		return r.withOutcome(unavailable("no_endpoint", "no endpoint could run the request; send it again"), hasRun)
+		return unavailable("no_endpoint", "no endpoint could run the request; send it again")
 	}
 	if res.refused != nil {
 		switch res.refused.Code { //nolint:exhaustive // The others mean that the endpoint failed.
@@ -210,30 +222,34 @@
 			r.config.Follower.Observe(wire.Freshness{Revision: cl.revision.Number() + 1, AgeMs: -1})
 			return r.pause(ctx, 5*correctionWait)
 		case wire.RunErrorCodeLeaving, wire.RunErrorCodeStarting, wire.RunErrorCodeWrongIncarnation:
-			ex.tried = append(ex.tried, d.endpoint.VM)
+			h.tried = append(h.tried, d.endpoint.VM)
 			return r.pause(ctx, correctionWait)
 		case wire.RunErrorCodeLoadFailed:
-			if ex.loadFailed++; ex.loadFailed > 1 {
-				return r.withOutcome(unavailable("load_failed", "the adapter could not be loaded on two endpoints; send the request again"), hasRun)
+			if h.loadFailed++; h.loadFailed > 1 {
+				return unavailable("load_failed", "the adapter could not be loaded on two endpoints; send the request again")
 			}
 		}
 	}
-	ex.tried = append(ex.tried, d.endpoint.VM)
-	return r.retry(ctx, cl, d.attempt, hasRun)
+	h.tried = append(h.tried, d.endpoint.VM)
+	if h.outcome == ran && d.attempt == 1 {
+		// The lost endpoint no longer works on the stream, so continuing it once elsewhere adds no load.
+		return nil
+	}
+	return r.retry(ctx, cl, d.attempt)
 }
 
 // retry takes from the retry budget and waits for the backoff.
-func (r *Router) retry(ctx context.Context, cl *call, attempt int, hasRun bool) *callError {
+func (r *Router) retry(ctx context.Context, cl *call, attempt int) *callError {
 	r.mu.Lock()
 	var allowed bool
 	r.retries, allowed = r.retries.Allow(r.elapsed())
 	wait, inTime := r.retries.Backoff(attempt, r.rng, cl.remaining(r.now()))
 	r.mu.Unlock()
 	if !allowed {
-		return r.withOutcome(unavailable("retry_budget", "too many requests are being retried; send the request again later"), hasRun)
+		return unavailable("retry_budget", "too many requests are being retried; send the request again later")
 	}
 	if !inTime {
-		return r.withOutcome(unavailable("deadline_near", "no time is left for a retry; send the request again"), hasRun)
+		return unavailable("deadline_near", "no time is left for a retry; send the request again")
 	}
 	r.config.Meter.Retry(cl.organisation.Name)
 	return r.pause(ctx, wait)
@@ -244,7 +260,7 @@
 	release, failure := r.takePermit(ctx, cl, d)
 	if failure != nil {
 		r.done(cl, *d, false)
-		return &result{failure: r.withOutcome(failure, sink.tokens > 0)}
+		return &result{failure: failure}
 	}
 	defer release()
 	body, err := cl.model.engineBody(cl.name(), cl.route.Priority, sink.sent.String(), sink.tokens)
@@ -427,9 +443,9 @@
 
 // repeatService runs a repeatable call, on another endpoint if one fails before the answer has begun.
 func (r *Router) repeatService(ctx context.Context, cl *call, sink *serviceSink) *callError {
-	var ex exclusion
+	var h history
 	for attempt := 1; ; attempt++ {
-		endpoint, decision, failure := r.choose(ctx, cl, &ex)
+		endpoint, decision, failure := r.choose(ctx, cl, &h)
 		if failure != nil {
 			return failure
 		}
@@ -451,8 +467,9 @@
 		if sink.started {
 			return failed(http.StatusBadGateway, ran, "answer_broken", "the service's answer broke off; send the request again")
 		}
-		if failure := r.consider(ctx, cl, &ex, d, *res, false); failure != nil {
-			return failure
+		h.learn(*res, false)
+		if failure := r.consider(ctx, cl, &h, d, *res); failure != nil {
+			return h.given(failure)
 		}
 	}
 }
@@ -479,9 +496,9 @@
 // runOnce runs a call that may not be repeated. claim is nil without an idempotency key; else it is told of
 // each assignment before the call is sent, and may refuse it.
 func (r *Router) runOnce(ctx context.Context, cl *call, sink *serviceSink, claim func(d dispatch) *callError) *callError {
-	var ex exclusion
+	var h history
 	for attempt := 1; ; attempt++ {
-		endpoint, decision, failure := r.choose(ctx, cl, &ex)
+		endpoint, decision, failure := r.choose(ctx, cl, &h)
 		if failure != nil {
 			return failure
 		}
@@ -504,7 +521,8 @@
 		if res.refused != nil && res.refused.Code == wire.RunErrorCodeVoided {
 			return errVoided
 		}
-		if failure := r.consider(ctx, cl, &ex, d, *res, false); failure != nil {
+		// Each dispatch that led here has provably not run, so the history stays at not-run.
+		if failure := r.consider(ctx, cl, &h, d, *res); failure != nil {
 			return failure
 		}
 	}
@@ -532,7 +550,7 @@
 		known.Void = r.void(ctx, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl))
 	}
 	if known.Void == claimer.VoidRunning || known.Void == claimer.VoidDone {
-		resp, again := r.join(ctx, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl), sink.bytes)
+		resp, again := r.join(ctx, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl), sink.bytes) //nolint:bodyclose // readService closes it.
 		if resp != nil {
 			again = r.readService(resp, cl, &d, sink)
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,9 @@
 const (
 	listEvery  = time.Second
 	stateEvery = 250 * time.Millisecond
+	// retryConstant is the number of retries in ten seconds that an entry with few requests may make, so that
+	// the loss of one endpoint of a small fleet refuses nothing.
+	retryConstant = 20
 )
 
 // Config configures a Router.
@@ -99,7 +102,7 @@
 			HeartbeatEvery: c.Settings.Heartbeat, ProtocolMin: protocolVersion, ProtocolMax: protocolVersion,
 		}),
 		states:  map[string]tracker.State{},
-		retries: retrier.New(retrier.Config{}),
+		retries: retrier.New(retrier.Config{Constant: retryConstant}),
 		rng:     rand.New(rand.NewPCG(c.Seed, c.Seed+1)),
 		calls:   map[string]*openCall{},
 		idle:    make(chan struct{}),
