Add run guard, claims, retry budget, leases and fair queue

Four decision packages without I/O. The guard and the queue own their maps and change them in place, because copying tens of thousands of items with each request would cost more than the request.

--- /dev/null
+++ b/pkg/retrier/retrier_test.go
@@ -0,0 +1,79 @@
+package retrier_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"geraniumladder/pkg/retrier"
+)
+
+// Guards against a retry storm: whatever fails and whenever, the retries of a window stay within the budget.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := retrier.Config{Ratio: rapid.Float64Range(0.01, 1).Draw(t, "ratio"),
+			Constant: rapid.Float64Range(0.5, 10).Draw(t, "constant"), Window: time.Second}
+		r := retrier.New(c)
+		var now time.Duration
+		var requests, retries []time.Duration
+		within := func(times []time.Duration) float64 {
+			n := 0.0
+			for _, at := range times {
+				if at > now-c.Window {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += time.Duration(rapid.SampledFrom([]int{0, 0, 1, 30, 99, 1000, 5000}).Draw(t, "ms")) * time.Millisecond
+			for range rapid.IntRange(0, 20).Draw(t, "requests") {
+				r = r.WithRequest(now)
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 5).Draw(t, "failures") {
+				var ok bool
+				if r, ok = r.Allow(now); ok {
+					retries = append(retries, now)
+					bound := c.Ratio*within(requests) + c.Constant
+					assert.Assert(t, within(retries) <= bound+1e-9, "%v retries, bound %v", within(retries), bound)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a budget that is spent once and never comes back, and against one that ignores requests.
+func TestBudgetIsUsable(t *testing.T) {
+	r := retrier.New(retrier.Config{})
+	spend := func(now time.Duration) (n int) {
+		for ok := true; ok; {
+			if r, ok = r.Allow(now); ok {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, spend(0), 5)
+	for range 100 {
+		r = r.WithRequest(time.Second)
+	}
+	assert.Equal(t, spend(time.Second), 10)
+	assert.Equal(t, spend(time.Minute), 5)
+}
+
+// Guards against retries that all come at once, come after the deadline or wait without bound.
+func TestBackoff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := retrier.New(retrier.Config{})
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		retry := rapid.IntRange(1, 100).Draw(t, "retry")
+		remaining := time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "remaining"))
+		delay, ok := r.Backoff(retry, rng, remaining)
+		assert.Assert(t, delay >= 0 && delay <= min(25*time.Millisecond<<min(retry-1, 10), time.Second))
+		assert.Equal(t, ok, delay < remaining)
+	})
+}
--- /dev/null
+++ b/pkg/scheduler/scheduler_test.go
@@ -0,0 +1,208 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"geraniumladder/pkg/scheduler"
+)
+
+const maxTokens = 400
+
+func draw(t *rapid.T, id int, organisation string, weight float64) scheduler.Request {
+	return scheduler.Request{ID: fmt.Sprint(id), Organisation: organisation, Weight: weight,
+		Adapter:      rapid.SampledFrom([]string{"", "hot", "cold"}).Draw(t, "adapter"),
+		PromptTokens: rapid.IntRange(1, maxTokens).Draw(t, "prompt"),
+		AnswerTokens: rapid.IntRange(0, maxTokens).Draw(t, "answer")}
+}
+
+func resident(adapter string) bool { return adapter != "cold" }
+
+// Guards against an organisation that gets less than its share while it has work: two organisations stay backlogged,
+// with any request sizes, weights, residency and corrections, and their services must not drift apart.
+func TestBackloggedOrganisationsShareByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grouping := rapid.SampledFrom([]float64{0, 500, 5000}).Draw(t, "grouping")
+		batch := rapid.IntRange(1, 6).Draw(t, "batch")
+		weights := map[string]float64{"a": rapid.Float64Range(0.5, 4).Draw(t, "weight a"), "b": 1}
+		adapters := rapid.Bool().Draw(t, "a has only absent adapters")
+		q := scheduler.New(scheduler.Config{GroupingTokens: grouping})
+		id := 0
+		add := func(organisation string) {
+			id++
+			r := draw(t, id, organisation, weights[organisation])
+			if adapters && organisation == "a" {
+				r.Adapter = "cold"
+			}
+			q = q.WithRequest(r, 0)
+		}
+		for range 5 {
+			add("a")
+			add("b")
+		}
+		used := map[string]float64{}
+		var running []scheduler.Request
+		requestCost := scheduler.Cost(maxTokens, maxTokens)
+		bound := 2*max(requestCost, float64(batch)*requestCost)/min(weights["a"], 1) + grouping/min(weights["a"], 1)
+		for range rapid.IntRange(1, 200).Draw(t, "picks") {
+			var r scheduler.Request
+			var ok bool
+			q, r, ok = q.Next(scheduler.State{Running: len(running), Resident: resident}, 0)
+			assert.Assert(t, ok)
+			add(r.Organisation)
+			running = append(running, r)
+			if len(running) == batch {
+				r := running[0]
+				running = running[1:]
+				// Requests often use less than expected.
+				answer := rapid.IntRange(0, r.AnswerTokens).Draw(t, "used")
+				q = q.WithCompletion(r, r.PromptTokens, answer)
+				used[r.Organisation] += scheduler.Cost(r.PromptTokens, answer)
+			}
+			gap := math.Abs(used["a"]/weights["a"] - used["b"]/weights["b"])
+			assert.Assert(t, gap <= bound, "services differ by %v, bound %v", gap, bound)
+		}
+	})
+}
+
+// Guards against a request that waits forever because others with a resident adapter keep passing it.
+func TestGroupingCannotStarve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const grouping = 1000
+		q := scheduler.New(scheduler.Config{GroupingTokens: grouping})
+		q = q.WithRequest(scheduler.Request{ID: "cold", Organisation: "a", Adapter: "cold", PromptTokens: 10}, 0)
+		passed := 0.0
+		for i := 0; ; i++ {
+			for _, organisation := range []string{"a", "b"} {
+				r := draw(t, i, organisation, 1)
+				r.ID, r.Adapter = organisation+r.ID, "hot"
+				q = q.WithRequest(r, 0)
+			}
+			var r scheduler.Request
+			q, r, _ = q.Next(scheduler.State{Resident: resident}, 0)
+			if r.ID == "cold" {
+				return
+			}
+			if r.Organisation == "a" {
+				passed += r.Cost()
+			}
+			assert.Assert(t, passed <= grouping, "bypassed by %v tokens", passed)
+		}
+	})
+}
+
+// Guards against an organisation that saves up service while it is idle and then takes the endpoint over: by waiting,
+// or by a correction for a request from before it was idle.
+func TestIdleTimeGivesNoCredit(t *testing.T) {
+	q := scheduler.New(scheduler.Config{})
+	next := func() (r scheduler.Request) {
+		q, r, _ = q.Next(scheduler.State{}, 0)
+		return r
+	}
+	add := func(id int, organisation string, answer int) {
+		q = q.WithRequest(scheduler.Request{ID: fmt.Sprint(organisation, id), Organisation: organisation,
+			PromptTokens: 100, AnswerTokens: answer}, 0)
+	}
+	add(0, "b", 5000)
+	early := next()
+	for i := range 200 {
+		add(i, "a", 0)
+	}
+	for range 50 {
+		assert.Equal(t, next().Organisation, "a")
+	}
+	for i := 1; i <= 50; i++ {
+		add(i, "b", 0)
+	}
+	q = q.WithCompletion(early, 100, 0)
+	served := map[string]int{}
+	for range 40 {
+		served[next().Organisation]++
+	}
+	assert.Assert(t, served["b"] <= 21, "%v", served)
+}
+
+// Guards against short prompts that wait behind long ones, and long ones that are lost on the way.
+func TestLongPromptsDoNotBlockShortOnes(t *testing.T) {
+	q := scheduler.New(scheduler.Config{MaxLongPrefills: 1, LongPromptTokens: 1000, MaxRunning: 3})
+	for i, tokens := range []int{5000, 5000, 10, 5000, 20} {
+		q = q.WithRequest(scheduler.Request{ID: fmt.Sprint(i), Organisation: "a", PromptTokens: tokens}, 0)
+	}
+	var order []string
+	for _, s := range []scheduler.State{{Running: 3}, {}, {LongPrefills: 1}, {LongPrefills: 1}, {LongPrefills: 1}, {}, {}} {
+		var r scheduler.Request
+		q, r, _ = q.Next(s, 0)
+		order = append(order, r.ID)
+	}
+	assert.DeepEqual(t, order, []string{"", "0", "2", "4", "", "1", "3"})
+	assert.Equal(t, q.Load(), scheduler.Load{})
+}
+
+// Guards against work that is started although its caller will have given up, and against refusing work in time.
+func TestRefusals(t *testing.T) {
+	q := scheduler.New(scheduler.Config{TokensPerSecond: 100, PromptTokensPerSecond: 100})
+	request := func(id string, deadline time.Duration) scheduler.Request {
+		return scheduler.Request{ID: id, Organisation: "a", PromptTokens: 100, Deadline: deadline}
+	}
+	q = q.WithRequest(request("soon", 500*time.Millisecond), 0).WithRequest(request("first", 3*time.Second), 0)
+	q, refused := q.Refusals(0)
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].ID, "soon")
+	q = q.WithCompletion(request("earlier", 0), 100, 0)
+	q = q.WithRequest(request("second", 1500*time.Millisecond), 0).WithRequest(request("third", 5*time.Second), 0)
+	q, refused = q.Refusals(0)
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].ID, "second")
+	q = q.Without("third").Without("unknown")
+	q, refused = q.Refusals(2*time.Second + 1)
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].ID, "first")
+	assert.Equal(t, q.Load(), scheduler.Load{})
+}
+
+// Guards against baselines that are not what they are named after, which would make comparisons with them worthless.
+func TestPolicies(t *testing.T) {
+	for want, policy := range map[string]scheduler.Policy{
+		"a1 a2 b3 c4 ": scheduler.FirstInFirstOut{}, "a1 b3 c4 a2 ": scheduler.RoundRobin{},
+		"a1 b3 a2 c4 ": scheduler.TokenCounter{},
+	} {
+		q := scheduler.New(scheduler.Config{Policy: policy})
+		for i, o := range []string{"a", "a", "b", "c"} {
+			tokens := 10
+			if o == "c" {
+				q = q.WithService(o, 100)
+			}
+			q = q.WithRequest(scheduler.Request{ID: fmt.Sprint(o, i+1), Organisation: o, PromptTokens: tokens}, 0)
+		}
+		got := ""
+		for range 4 {
+			var r scheduler.Request
+			q, r, _ = q.Next(scheduler.State{}, 0)
+			got += r.ID + " "
+		}
+		assert.Equal(t, got, want, "%T", policy)
+	}
+}
+
+func BenchmarkPick10000Waiting(b *testing.B) {
+	q := scheduler.New(scheduler.Config{GroupingTokens: 10_000, MaxLongPrefills: 1, LongPromptTokens: 4000})
+	request := func(i int) scheduler.Request {
+		return scheduler.Request{ID: fmt.Sprint(i), Organisation: fmt.Sprint("o", i%50), Adapter: fmt.Sprint("a", i%997),
+			PromptTokens: 1 + i*7919%5000, AnswerTokens: 100, Deadline: time.Hour + time.Duration(i)}
+	}
+	for i := range 10_000 {
+		q = q.WithRequest(request(i), 0)
+	}
+	state := scheduler.State{Resident: func(a string) bool { return len(a) == 2 }}
+	b.ReportAllocs()
+	for i := 10_000; b.Loop(); i++ {
+		var r scheduler.Request
+		q, r, _ = q.Next(state, 0)
+		q = q.WithCompletion(r, r.PromptTokens, 50).WithRequest(request(i), 0)
+	}
+}
