--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -82,6 +82,26 @@
 	return s.signer.SignHTTP(ctx, c, r, payloadHash, service, region, s.now(), opts...)
 }
 
+// ownBody gives the transport its own copy of each request body. The SDK closes the body when the answer arrives, which
+// on a fast network can be before the transport has read the body's end; the transport then drops the connection, and
+// each such call costs the next one a new connection.
+type ownBody struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t ownBody) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return t.next.RoundTrip(r)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err = errors.CombineErrors(err, r.Body.Close()); err != nil {
+		return nil, err
+	}
+	r = r.Clone(r.Context())
+	r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+	r.Body, _ = r.GetBody()
+	return t.next.RoundTrip(r)
+}
+
 // NewClient returns a Client. It opens no connection before the first call.
 func NewClient(c ClientConfig) *Client {
 	c.URL = strings.TrimRight(c.URL, "/")
@@ -99,7 +119,7 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
 	}
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: ownBody{transport}}
 	dummy := credentials.NewStaticCredentialsProvider(DefaultTable, DefaultTable, "")
 	return &Client{
 		config:    c,
--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,6 +224,25 @@
 	assert.NilError(t, err)
 }
 
+// Guards against calls that each open a connection.
+func TestConnectionIsReused(t *testing.T) {
+	server := httptest.NewUnstartedServer(emulator.NewPlatform(emulator.PlatformConfig{}).Handler())
+	var opened atomic.Int32
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := storer.NewClient(storer.ClientConfig{URL: server.URL, Timeout: 20 * time.Second})
+	defer client.Close()
+	for range 20 {
+		calls(t.Context(), client)
+	}
+	assert.Equal(t, opened.Load(), int32(1))
+}
+
 // Guards against a rate limit that is not applied, or is reported as something other than Unavailable.
 func TestRateLimits(t *testing.T) {
 	client, _ := newClient(t, emulator.PlatformConfig{Table: emulator.TableConfig{WriteRate: 1}})
