--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -62,6 +62,7 @@
 	s.late = nil
 	s.calls[strings.Fields(op)[0]]++
 	switch f {
+	case none:
 	case refused:
 		return &storer.Error{Kind: storer.Unavailable, Op: op}
 	case lost:
