--- a/internal/applier/progress.go
+++ b/internal/applier/progress.go
@@ -37,14 +37,19 @@
 type Stale struct {
 	Revision int64
 	Known    int64
-	Age      time.Duration
-	Reason   string
+	// Age is the time since the revision in force was last proven to be the newest; negative when it never was.
+	Age    time.Duration
+	Reason string
 }
 
 // Error implements error. The message names the remedy.
 func (e *Stale) Error() string {
-	return fmt.Sprintf("not run: %s (revision %d in force, %d known, last proof %s ago); send the request to another entry, or again in a second",
-		e.Reason, e.Revision, e.Known, e.Age.Round(time.Millisecond))
+	proof := "no proof yet"
+	if e.Age >= 0 {
+		proof = fmt.Sprintf("last proof %s ago", e.Age.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("not run: %s (revision %d in force, %d known, %s); send the request to another entry, or again in a second",
+		e.Reason, e.Revision, e.Known, proof)
 }
 
 // InForce returns the number of the revision in force.
@@ -124,14 +129,16 @@
 //   - the store is unavailable to this entry and to a reachable peer, or there is no other entry,
 //     and nothing newer is known. Nothing can be accepted while the store is unavailable to all.
 func (p Progress) MayServe(now time.Time, freshFor time.Duration, others func() Others) error {
-	age := now.Sub(p.freshAt)
-	if !p.freshAt.IsZero() && age < freshFor {
-		return nil
+	age := time.Duration(-1)
+	if !p.freshAt.IsZero() {
+		if age = now.Sub(p.freshAt); age < freshFor {
+			return nil
+		}
 	}
 	stale := &Stale{Revision: p.inForce, Known: p.known, Age: age}
 	switch {
-	case p.freshAt.IsZero() && p.inForce == 0:
-		stale.Reason, stale.Age = "the configuration has not been read yet", 0
+	case age < 0 && p.inForce == 0:
+		stale.Reason = "the configuration has not been read yet"
 		return stale
 	case p.inForce < p.known:
 		stale.Reason = "a newer configuration is known but could not be fetched yet"
