--- a/internal/applier/folder.go
+++ b/internal/applier/folder.go
@@ -228,6 +228,15 @@
 	Unmerged []string
 }
 
+// Remotes names the files with the other versions of Unmerged.
+func (p Pulled) Remotes() []string {
+	names := make([]string, len(p.Unmerged))
+	for i, name := range p.Unmerged {
+		names[i] = name + remoteSuffix
+	}
+	return names
+}
+
 // PullFolder brings the files of the newest revision into dir and keeps the edits made there.
 func PullFolder(ctx context.Context, c Config, dir string) (Pulled, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
--- a/internal/merger/parse.go
+++ b/internal/merger/parse.go
@@ -495,3 +495,16 @@
 		c.add(p, at+".Version", fmt.Sprintf("adapter %q has no version %q", t.Adapter, t.Version), "add the version, or correct it")
 	}
 }
+
+// FindKey returns the file and line in which the key with this ID is stated.
+func FindKey(files []File, id string) (file string, line int, ok bool) {
+	for _, f := range files {
+		d := decoder{file: f.Name}
+		for _, k := range d.document(f.Content).keys {
+			if k.item.ID == id {
+				return f.Name, k.place.line, true
+			}
+		}
+	}
+	return "", 0, false
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,447 @@
+// Package operator holds the operators' commands for the configuration and for callers' keys.
+// It owns no state. When the platform's store is unavailable, the commands that need it end with ExitUnavailable
+// and say whether something may have been committed; check works without it.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"geraniumladder/internal/applier"
+	"geraniumladder/internal/merger"
+	"geraniumladder/internal/storer"
+)
+
+// Exit codes of the commands, also listed in docs/configuration.md.
+const (
+	ExitOK          = 0
+	ExitInternal    = 1
+	ExitUsage       = 2
+	ExitInvalid     = 3
+	ExitConflict    = 4
+	ExitUnavailable = 5
+	ExitNotInForce  = 6
+)
+
+// DefaultWait is how long a command waits for its revision to be in force everywhere, as promised to operators.
+const DefaultWait = 4 * time.Second
+
+// inForcePoll is the time between two questions to the VMs.
+const inForcePoll = 100 * time.Millisecond
+
+// EnvPlatform is the environment variable in place of --platform.
+const EnvPlatform = "GERANIUMLADDER_PLATFORM"
+
+// Platform is what the commands need of the platform.
+type Platform interface {
+	storer.Table
+	storer.Objects
+}
+
+// InForce tells which live VMs do not have a revision in force yet.
+type InForce interface {
+	// InForce returns the names of the live VMs that report a lower revision or do not answer.
+	InForce(ctx context.Context, revision int64) (missing []string, err error)
+}
+
+// Config configures the commands.
+type Config struct {
+	// Open connects to the platform; storer.NewClient when nil.
+	Open func(url string) Platform
+	// InForce returns what asks the VMs; with nil the commands do not wait and say so.
+	InForce func(url string) InForce
+	// Wait is DefaultWait when 0.
+	Wait time.Duration
+	// Backoff is applier.DefaultBackoff when 0.
+	Backoff time.Duration
+}
+
+// Failure is the error of a command with its exit code.
+type Failure struct {
+	Code  int
+	Cause error
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return f.Cause.Error() }
+
+// Unwrap returns the error underneath.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// ExitCode makes the command line library end the program with the code.
+func (f *Failure) ExitCode() int { return f.Code }
+
+// NotInForce says that a revision is accepted but live VMs lack it.
+type NotInForce struct {
+	Revision int64
+	Missing  []string
+	Cause    error
+}
+
+// Error implements error. The message names the remedy.
+func (e *NotInForce) Error() string {
+	text := fmt.Sprintf("revision %d is accepted but not yet in force everywhere", e.Revision)
+	if len(e.Missing) > 0 {
+		text += ": " + strings.Join(e.Missing, ", ") + " lack it"
+	}
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text + "; do not apply it again, each VM takes it as soon as it reaches the platform"
+}
+
+// Flags returns the flags that all commands share, for the root command.
+func Flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "platform", Usage: "`URL` of the platform", Sources: cli.EnvVars(EnvPlatform)},
+		&cli.StringFlag{Name: "output", Usage: "`FORMAT` of the result, text or json", Value: "text"},
+	}
+}
+
+// Commands returns the commands with their default configuration.
+func Commands() []*cli.Command { return Config{}.Commands() }
+
+// Commands returns the commands.
+func (c Config) Commands() []*cli.Command {
+	if c.Open == nil {
+		c.Open = func(url string) Platform { return storer.NewClient(storer.ClientConfig{URL: url}) }
+	}
+	if c.Wait == 0 {
+		c.Wait = DefaultWait
+	}
+	return []*cli.Command{
+		command("check", "check the files of a folder without the platform", "DIR",
+			"geraniumladder check configuration", c.check),
+		command("diff", "show what apply would change", "DIR",
+			"geraniumladder --platform http://10.0.0.2:8000 diff configuration", c.diff),
+		command("apply", "commit the edits of a folder and wait until they are in force everywhere", "DIR",
+			"geraniumladder --platform http://10.0.0.2:8000 apply configuration", c.apply),
+		command("watch", "apply a folder at each save until interrupted", "DIR",
+			"GERANIUMLADDER_PLATFORM=http://10.0.0.2:8000 geraniumladder watch configuration", c.watch),
+		command("pull", "bring the newest files into a folder and keep the edits made there", "DIR",
+			"geraniumladder --platform http://10.0.0.2:8000 pull configuration", c.pull),
+		{
+			Name:  "key",
+			Usage: "issue and withdraw callers' keys",
+			Commands: []*cli.Command{
+				command("issue", "make a key, print its secret once and keep its digest", "",
+					"geraniumladder key issue --organisation st-mary --id st-mary-2", c.keyIssue,
+					&cli.StringFlag{Name: "organisation", Usage: "`NAME` of the organisation the key belongs to"},
+					&cli.StringFlag{Name: "id", Usage: "`ID` of the key; NAME and a random suffix when not given"},
+					&cli.StringFlag{Name: "folder", Usage: "write the key's digest into the folder `DIR` and do not apply it"}),
+				command("withdraw", "withdraw a key; it stops working within 4 seconds", "",
+					"geraniumladder key withdraw --id st-mary-1", c.keyWithdraw,
+					&cli.StringFlag{Name: "id", Usage: "`ID` of the key"}),
+			},
+		},
+	}
+}
+
+// command makes one command that prints its result, or its error, in the chosen format.
+func command(name, usage, args, example string, run func(context.Context, *cli.Command) (result, error), flags ...cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, ArgsUsage: args, Flags: flags,
+		Description: "Example:\n   " + example,
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &Failure{Code: ExitUsage, Cause: err}
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			format := cmd.String("output")
+			if format != "" && format != "text" && format != "json" {
+				return &Failure{Code: ExitUsage, Cause: errors.Newf("--output %s: use text or json", format)}
+			}
+			r, err := run(ctx, cmd)
+			if printErr := show(cmd.Root().Writer, format == "json", r, err); printErr != nil && err == nil {
+				err = errors.Wrap(printErr, "print the result")
+			}
+			if err == nil {
+				return nil
+			}
+			return &Failure{Code: codeOf(err), Cause: err}
+		},
+	}
+}
+
+// result is what a command prints; its JSON form is the struct itself.
+type result interface {
+	text() string
+}
+
+// failed is the JSON form of an error.
+type failed struct {
+	Error  string
+	Code   int
+	Faults []merger.Fault `json:",omitempty"`
+	Files  []string       `json:",omitempty"`
+	Result any            `json:",omitempty"`
+}
+
+// show prints the result. An error is printed here only as JSON; as text the caller of the command prints it.
+func show(w io.Writer, asJSON bool, r result, err error) error {
+	if !asJSON {
+		if r == nil {
+			return nil
+		}
+		_, printErr := io.WriteString(w, r.text())
+		return printErr
+	}
+	if r == nil && err == nil {
+		return nil
+	}
+	var document any = r
+	if err != nil {
+		f := failed{Error: err.Error(), Code: codeOf(err), Result: r}
+		var invalid *applier.Invalid
+		if errors.As(err, &invalid) {
+			f.Faults = invalid.Faults
+		}
+		var conflict *applier.Conflict
+		if errors.As(err, &conflict) {
+			f.Files = conflict.Files
+		}
+		document = f
+	}
+	return json.NewEncoder(w).Encode(document)
+}
+
+func codeOf(err error) int {
+	var failure *Failure
+	var invalid *applier.Invalid
+	var conflict *applier.Conflict
+	var unavailable *applier.Unavailable
+	var notInForce *NotInForce
+	switch {
+	case errors.As(err, &failure):
+		return failure.Code
+	case errors.As(err, &invalid):
+		return ExitInvalid
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &unavailable):
+		return ExitUnavailable
+	case errors.As(err, &notInForce):
+		return ExitNotInForce
+	}
+	return ExitInternal
+}
+
+func usage(format string, args ...any) error {
+	return &Failure{Code: ExitUsage, Cause: errors.Newf(format, args...)}
+}
+
+func folderOf(cmd *cli.Command) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", usage("%s takes one folder, as in \"geraniumladder %s configuration\"", cmd.Name, cmd.Name)
+	}
+	return cmd.Args().First(), nil
+}
+
+func (c Config) platform(cmd *cli.Command) (applier.Config, error) {
+	url := cmd.String("platform")
+	if url == "" {
+		return applier.Config{}, usage("give the platform by --platform URL or %s", EnvPlatform)
+	}
+	p := c.Open(url)
+	return applier.Config{Table: p, Objects: p, Parser: new(merger.Parser), Backoff: c.Backoff}, nil
+}
+
+// folderAndPlatform returns what most commands work on.
+func (c Config) folderAndPlatform(cmd *cli.Command) (string, applier.Config, error) {
+	dir, err := folderOf(cmd)
+	if err != nil {
+		return "", applier.Config{}, err
+	}
+	p, err := c.platform(cmd)
+	return dir, p, err
+}
+
+// WaitInForce waits until no live VM lacks the revision. It returns *NotInForce when some still do after wait.
+func WaitInForce(ctx context.Context, in InForce, revision int64, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	ticker := time.NewTicker(inForcePoll)
+	defer ticker.Stop()
+	last := &NotInForce{Revision: revision}
+	for {
+		missing, err := in.InForce(ctx, revision)
+		if err == nil && len(missing) == 0 {
+			return nil
+		}
+		if ctx.Err() == nil || err == nil {
+			// An error of the last question, cut off by the end of the wait, says nothing about the VMs.
+			last.Missing, last.Cause = missing, err
+		}
+		select {
+		case <-ctx.Done():
+			return last
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c Config) waitInForce(ctx context.Context, cmd *cli.Command, revision int64) error {
+	if c.InForce == nil {
+		return nil
+	}
+	return WaitInForce(ctx, c.InForce(cmd.String("platform")), revision, c.Wait)
+}
+
+type checked struct {
+	Files         int
+	Organisations int
+	Keys          int
+	Adapters      int
+	Routes        int
+	Objectives    int
+}
+
+func (r checked) text() string {
+	return fmt.Sprintf("valid: %d files with %d organisations, %d keys, %d adapters, %d routes, %d objectives\n",
+		r.Files, r.Organisations, r.Keys, r.Adapters, r.Routes, r.Objectives)
+}
+
+func (c Config) check(_ context.Context, cmd *cli.Command) (result, error) {
+	dir, err := folderOf(cmd)
+	if err != nil {
+		return nil, err
+	}
+	folder, err := applier.LoadFolder(dir)
+	if err != nil {
+		return nil, usage("%s", err)
+	}
+	items, faults := merger.Parse(folder.Files)
+	if len(faults) > 0 {
+		return nil, &applier.Invalid{Faults: faults}
+	}
+	return checked{Files: len(folder.Files), Organisations: len(items.Organisations), Keys: len(items.Keys),
+		Adapters: len(items.Adapters), Routes: len(items.Routes), Objectives: len(items.Objectives)}, nil
+}
+
+type difference struct {
+	applier.Difference
+}
+
+func (r difference) text() string {
+	if len(r.Changed)+len(r.Removed) == 0 {
+		return fmt.Sprintf("no difference to revision %d\n", r.Revision)
+	}
+	return fmt.Sprintf("on top of revision %d:\n%s", r.Revision, r.String())
+}
+
+func (c Config) diff(ctx context.Context, cmd *cli.Command) (result, error) {
+	dir, p, err := c.folderAndPlatform(cmd)
+	if err != nil {
+		return nil, err
+	}
+	d, err := applier.DiffFolder(ctx, p, dir)
+	if err != nil {
+		return nil, err
+	}
+	return difference{d}, nil
+}
+
+type applied struct {
+	Revision  int64
+	Committed bool
+	Changed   []string `json:",omitempty"`
+	Removed   []string `json:",omitempty"`
+	// InForce is set when every live VM reported the revision.
+	InForce bool
+}
+
+func (r applied) text() string {
+	state := "is in force on every live VM"
+	if !r.InForce {
+		state = "is accepted; whether it is in force was not confirmed"
+	}
+	if !r.Committed {
+		return fmt.Sprintf("nothing to apply: revision %d %s\n", r.Revision, state)
+	}
+	var b strings.Builder
+	for _, name := range r.Changed {
+		fmt.Fprintf(&b, "file %s changed\n", name)
+	}
+	for _, name := range r.Removed {
+		fmt.Fprintf(&b, "file %s removed\n", name)
+	}
+	fmt.Fprintf(&b, "revision %d %s\n", r.Revision, state)
+	return b.String()
+}
+
+// confirm waits for the revision and completes the result.
+func (c Config) confirm(ctx context.Context, cmd *cli.Command, r applier.Result) (applied, error) {
+	err := c.waitInForce(ctx, cmd, r.Revision)
+	return applied{Revision: r.Revision, Committed: r.Committed, Changed: r.Changed, Removed: r.Removed,
+		InForce: err == nil && c.InForce != nil}, err
+}
+
+func (c Config) apply(ctx context.Context, cmd *cli.Command) (result, error) {
+	dir, p, err := c.folderAndPlatform(cmd)
+	if err != nil {
+		return nil, err
+	}
+	r, err := applier.ApplyFolder(ctx, p, dir)
+	if err != nil && !r.Committed {
+		return nil, err
+	}
+	// The commit stands even when the folder's base could not be saved.
+	done, waitErr := c.confirm(ctx, cmd, r)
+	return done, errors.CombineErrors(err, waitErr)
+}
+
+func (c Config) watch(ctx context.Context, cmd *cli.Command) (result, error) {
+	dir, p, err := c.folderAndPlatform(cmd)
+	if err != nil {
+		return nil, err
+	}
+	asJSON := cmd.String("output") == "json"
+	report := func(r applier.Result, err error) {
+		var done result
+		if err == nil {
+			done, err = c.confirm(ctx, cmd, r)
+		}
+		_ = show(cmd.Root().Writer, asJSON, done, err)
+		if err != nil && !asJSON {
+			_, _ = fmt.Fprintln(cmd.Root().ErrWriter, err.Error())
+		}
+	}
+	return nil, applier.Watch(ctx, applier.WatchConfig{Config: p, Report: report}, dir)
+}
+
+type pulled struct {
+	applier.Pulled
+}
+
+func (r pulled) text() string {
+	var b strings.Builder
+	for _, name := range r.Updated {
+		fmt.Fprintf(&b, "file %s written\n", name)
+	}
+	for _, name := range r.Removed {
+		fmt.Fprintf(&b, "file %s removed\n", name)
+	}
+	fmt.Fprintf(&b, "folder is at revision %d\n", r.Revision)
+	return b.String()
+}
+
+func (c Config) pull(ctx context.Context, cmd *cli.Command) (result, error) {
+	dir, p, err := c.folderAndPlatform(cmd)
+	if err != nil {
+		return nil, err
+	}
+	r, err := applier.PullFolder(ctx, p, dir)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Unmerged) > 0 {
+		err = &applier.Conflict{Files: r.Remotes(), Unmerged: true}
+	}
+	return pulled{r}, err
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,211 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"gotest.tools/v3/assert"
+
+	"geraniumladder/internal/applier"
+	"geraniumladder/internal/authenticator"
+	"geraniumladder/internal/merger"
+	"geraniumladder/internal/operator"
+	"geraniumladder/internal/storer"
+)
+
+// vms answers for the live VMs.
+type vms struct{ missing []string }
+
+func (v vms) InForce(context.Context, int64) ([]string, error) { return v.missing, nil }
+
+// run runs the program on a platform in memory and returns its output and exit code.
+func run(memory *storer.Memory, missing []string, args ...string) (string, int, error) {
+	c := operator.Config{
+		Open:    func(string) operator.Platform { return memory },
+		InForce: func(string) operator.InForce { return vms{missing} },
+		Wait:    time.Millisecond,
+		Backoff: time.Nanosecond,
+	}
+	var out bytes.Buffer
+	root := &cli.Command{Name: "geraniumladder", Flags: operator.Flags(), Commands: c.Commands(), Writer: &out, ErrWriter: io.Discard,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}}
+	err := root.Run(context.Background(), append([]string{"geraniumladder"}, args...))
+	if err == nil {
+		return out.String(), operator.ExitOK, nil
+	}
+	var failure *operator.Failure
+	if errors.As(err, &failure) {
+		return out.String(), failure.Code, err
+	}
+	return out.String(), -1, err
+}
+
+func folder(t *testing.T, files map[string]string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, content := range files {
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, name), []byte(content), 0o600))
+	}
+	return dir
+}
+
+const (
+	organisations = "Organisations:\n- {Name: st-mary, Rate: 100, Burst: 500}\n"
+	adapters      = "Adapters:\n- {Name: repair, BaseModel: llama, Versions: [{Version: 1, Path: a/1}]}\n"
+	digest        = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+)
+
+// Guards against a bad folder that is accepted, or refused without the file, the line and the remedy.
+func TestBadFolders(t *testing.T) {
+	cases := []struct {
+		name, file, content string
+		want                []string
+	}{
+		{"half saved", "20.yaml", "Routes:\n- Name: r\n  Organisations: [st-mary\n", []string{"20.yaml:3: not valid YAML", "complete the file"}},
+		{"empty file", "20.yaml", "", []string{"20.yaml:1: the file is empty", "remove the file"}},
+		{"empty list", "20.yaml", "Adapters:\n", []string{"20.yaml:1: Adapters: no value", "[] for an empty one"}},
+		{"empty list item", "20.yaml", "Adapters:\n-\n", []string{"20.yaml:2: Adapters[0]: empty list item", "remove the \"-\""}},
+		{"field without value", "20.yaml", "Organisations:\n- Name: a\n  Rate:\n  Burst: 1\n", []string{"20.yaml:3: Organisations[0].Rate: no value", "write a value"}},
+		{"unknown list", "20.yaml", "Adaptors: []\n", []string{"20.yaml:1: Adaptors: unknown field", "use Organisations"}},
+		{"unknown field", "20.yaml", "Organisations:\n- {Name: a, Rate: 1, Burst: 1, rate: 2}\n", []string{"20.yaml:2: Organisations[0].rate: unknown field", "write Rate"}},
+		{"field stated twice", "20.yaml", "Organisations:\n- Name: a\n  Rate: 1\n  Burst: 1\n  Rate: 2\n", []string{"20.yaml:5: Organisations[0].Rate: stated twice, first in line 3", "remove one"}},
+		{"restated without Override", "20.yaml", organisations, []string{`20.yaml:2: Organisations[0].Name: "st-mary" is already stated in 10.yaml:2`, "Override: true"}},
+		{"twice in one file", "20.yaml", "Organisations:\n- {Name: a, Rate: 1, Burst: 1}\n- {Name: a, Rate: 1, Burst: 1, Override: true}\n",
+			[]string{`20.yaml:3: Organisations[1].Name: "a" is already stated in 20.yaml:2`, "remove or rename"}},
+		{"override of nothing", "20.yaml", "Organisations:\n- {Name: a, Rate: 1, Burst: 1, Override: true}\n", []string{"20.yaml:2: Organisations[0].Override: no earlier file", "remove Override"}},
+		{"key restated", "20.yaml", "Keys:\n- {Id: k, Organisation: st-mary, Digest: " + digest + ", Override: true}\n", []string{"20.yaml:2: Keys[0].Override: a key may not be restated", "issue a new one"}},
+		{"plain secret", "20.yaml", "Keys:\n- Id: k\n  Organisation: st-mary\n  Secret: gl-1\n", []string{"20.yaml:4: Keys[0].Secret: a secret in plain text", "withdraw this key"}},
+		{"digest used twice", "20.yaml", "Keys:\n- {Id: k, Organisation: st-mary, Digest: " + digest + "}\n- {Id: l, Organisation: st-mary, Digest: " + digest + "}\n",
+			[]string{"20.yaml:3: Keys[1].Digest: the same as that of the key in 20.yaml:2", "a key of its own"}},
+		{"key of no organisation", "20.yaml", "Keys:\n- Id: k\n  Organisation: nobody\n  Digest: " + digest + "\n", []string{`20.yaml:3: Keys[0].Organisation: there is no organisation "nobody"`, "correct the name"}},
+		{"rate out of range", "20.yaml", "Organisations:\n- {Name: a, Rate: -1, Burst: 1}\n", []string{"20.yaml:2: Organisations[0].Rate: -1 is out of range", "at least 1"}},
+		{"name with @", "20.yaml", "Adapters:\n- {Name: repair@2, BaseModel: llama, Versions: [{Version: 1, Path: a/1}]}\n", []string{`20.yaml:2: Adapters[0].Name: "repair@2" has characters outside`, "rename it"}},
+		{"route to no adapter and version", "20.yaml", "Routes:\n- Name: r\n  Organisations: [st-mary]\n  Targets:\n  - {Adapter: repair, Version: 9}\n  - {Adapter: none, Version: 1, Weight: 0}\n",
+			[]string{`20.yaml:5: Routes[0].Targets[0].Version: adapter "repair" has no version "9"`, "add the version",
+				`20.yaml:6: Routes[0].Targets[1].Adapter: there is no adapter "none"`, "20.yaml:6: Routes[0].Targets[1].Weight: 0 is out of range", "at least 0.001"}},
+		{"route values out of range", "20.yaml", "Routes:\n- Name: r\n  Organisations: [st-mary]\n  Service: ledger\n  Deadline: 11m\n  Priority: 11\n",
+			[]string{"20.yaml:5: Routes[0].Deadline: 11m0s is out of range", "100ms to 10m0s", "20.yaml:6: Routes[0].Priority: 11 is out of range", "-10 to 10"}},
+		{"deadline without unit", "20.yaml", "Routes:\n- {Name: r, Organisations: [st-mary], Service: ledger, Deadline: 90}\n", []string{`20.yaml:2: Routes[0].Deadline: "90" is not a duration`, "90s"}},
+		{"objective out of range", "20.yaml", "Objectives:\n- {Name: o, Indicator: Availability, Target: 95}\n", []string{"20.yaml:2: Objectives[0].Target: 95 is out of range", "0.95"}},
+		{"open route without a limit", "20.yaml", "Routes:\n- {Name: r, Open: true, Service: ledger}\n", []string{"20.yaml:2: Routes[0].Open: requests without a key have no limit", `an organisation named "open"`}},
+		{"too large", "20.yaml", organisations + strings.Repeat("#", merger.MaxFileBytes), []string{"20.yaml:0: 262", "split it"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			dir := folder(t, map[string]string{"10.yaml": organisations + adapters, c.file: c.content})
+			_, code, err := run(nil, nil, "check", dir)
+			assert.Equal(t, code, operator.ExitInvalid, "%v", err)
+			for _, want := range c.want {
+				assert.ErrorContains(t, err, want)
+			}
+		})
+	}
+}
+
+// Guards against wrong exit codes, on which operators' scripts depend, and against JSON output without the faults.
+func TestExitCodes(t *testing.T) {
+	memory := storer.NewMemory()
+	one := folder(t, map[string]string{"10.yaml": organisations + adapters})
+	bad := folder(t, map[string]string{"20.yaml": "Adapters:\n-\n"})
+	clash := folder(t, map[string]string{"10.yaml": organisations})
+	steps := []struct {
+		name    string
+		prepare func()
+		missing []string
+		args    []string
+		code    int
+		output  string
+	}{
+		{name: "check", args: []string{"check", one}, output: "valid: 1 files with 1 organisations"},
+		{name: "no folder", args: []string{"check"}, code: operator.ExitUsage},
+		{name: "no such folder", args: []string{"check", filepath.Join(one, "none")}, code: operator.ExitUsage},
+		{name: "unknown flag", args: []string{"check", "--depth", "3", one}, code: operator.ExitUsage},
+		{name: "unknown format", args: []string{"check", "--output", "xml", one}, code: operator.ExitUsage},
+		{name: "no platform", args: []string{"apply", one}, code: operator.ExitUsage},
+		{name: "faults as JSON", args: []string{"--output", "json", "check", bad}, code: operator.ExitInvalid, output: `"Line":2`},
+		{name: "diff", args: []string{"--platform", "p", "diff", one}, output: "organisation st-mary set"},
+		{name: "apply", args: []string{"--platform", "p", "apply", one}, output: "revision 1 is in force on every live VM"},
+		{name: "nothing to apply", args: []string{"apply", "--platform", "p", one}, output: "nothing to apply"},
+		{name: "not in force", missing: []string{"vm-3"}, args: []string{"--platform", "p", "apply", one}, code: operator.ExitNotInForce},
+		{name: "invalid", args: []string{"--platform", "p", "apply", bad}, code: operator.ExitInvalid},
+		{name: "conflict", args: []string{"--platform", "p", "apply", clash}, code: operator.ExitConflict},
+		{name: "pull over an edit", args: []string{"--platform", "p", "pull", clash}, code: operator.ExitConflict},
+		{name: "unavailable", prepare: func() { memory.SetFault(storer.Fault{Down: true}) },
+			args: []string{"--platform", "p", "key", "withdraw", "--id", "x"}, code: operator.ExitUnavailable},
+	}
+	for _, s := range steps {
+		if s.prepare != nil {
+			s.prepare()
+		}
+		out, code, err := run(memory, s.missing, s.args...)
+		assert.Equal(t, code, s.code, "%s: %v", s.name, err)
+		assert.Assert(t, strings.Contains(out, s.output), "%s: %s", s.name, out)
+	}
+}
+
+// Guards against a key whose secret is stored, that does not work after issue or still works after withdrawal, and
+// against edits that lose other keys or comments of the file.
+func TestKeys(t *testing.T) {
+	memory := storer.NewMemory()
+	c := applier.Config{Table: memory, Objects: memory}
+	hand := "# keys of the parish\nKeys:\n  # from 2025\n  - Id: old\n    Organisation: st-mary\n    Digest: " + digest + "\n\n" + organisations
+	_, err := applier.Apply(t.Context(), c, applier.Manifest{}, []merger.File{{Name: "50-keys-st-mary.yaml", Content: []byte(hand)}}, nil)
+	assert.NilError(t, err)
+	out, code, err := run(memory, nil, "--platform", "p", "--output", "json", "key", "issue", "--organisation", "st-mary", "--id", "new")
+	assert.Equal(t, code, operator.ExitOK, "%v", err)
+	var issued struct{ ID, Secret string }
+	assert.NilError(t, json.Unmarshal([]byte(out), &issued))
+	assert.Assert(t, strings.HasPrefix(issued.Secret, "gl-") && len(issued.Secret) == 35)
+
+	current := func() (merger.Revision, string) {
+		_, files, err := applier.Pull(t.Context(), c)
+		assert.NilError(t, err)
+		items, faults := merger.Parse(files)
+		assert.Equal(t, len(faults), 0)
+		return merger.NewRevision(1, items), string(files[0].Content)
+	}
+	r, text := current()
+	key, ok := r.KeyByDigest(authenticator.Digest(issued.Secret))
+	assert.Assert(t, ok && key.ID == "new" && key.Organisation == "st-mary")
+	_, ok = r.KeyByDigest(digest)
+	assert.Assert(t, ok && strings.Contains(text, "# keys of the parish") && !strings.Contains(text, issued.Secret))
+
+	_, code, err = run(memory, nil, "--platform", "p", "key", "issue", "--organisation", "st-mary", "--id", "new")
+	assert.Equal(t, code, operator.ExitInvalid, "%v", err)
+	for _, id := range []string{"old", "new"} {
+		_, code, err = run(memory, nil, "--platform", "p", "key", "withdraw", "--id", id)
+		assert.Equal(t, code, operator.ExitOK, "%v", err)
+	}
+	r, text = current()
+	assert.Equal(t, len(r.Items().Keys), 0)
+	assert.Assert(t, strings.Contains(text, "# keys of the parish") && strings.Contains(text, organisations))
+	_, code, _ = run(memory, nil, "--platform", "p", "key", "withdraw", "--id", "old")
+	assert.Equal(t, code, operator.ExitUsage)
+
+	dir := folder(t, map[string]string{"10.yaml": organisations})
+	out, code, err = run(nil, nil, "key", "issue", "--organisation", "st-mary", "--folder", dir)
+	assert.Equal(t, code, operator.ExitOK, "%v", err)
+	assert.Assert(t, strings.Contains(out, "apply the folder before use"))
+	_, code, err = run(nil, nil, "check", dir)
+	assert.Equal(t, code, operator.ExitOK, "%v", err)
+}
+
+// Guards against a command without an example in its help.
+func TestHelpHasExamples(t *testing.T) {
+	for _, args := range [][]string{{"check"}, {"diff"}, {"apply"}, {"watch"}, {"pull"}, {"key", "issue"}, {"key", "withdraw"}} {
+		out, _, err := run(nil, nil, append(args, "--help")...)
+		assert.NilError(t, err)
+		example := regexp.MustCompile(`Example:\n\s+.*geraniumladder .*` + strings.Join(args, " "))
+		assert.Assert(t, example.MatchString(out), out)
+	}
+}
