--- a/internal/merger/revision.go
+++ b/internal/merger/revision.go
@@ -1,5 +1,6 @@
 // Package merger parses the operators' folder of YAML files, merges the files in the order of their names
-// and checks the whole. It owns no state: a Revision is an immutable value.
+// and checks the whole. It owns no state: a Revision is an immutable value. It does not use the platform, so that an
+// unavailable store makes no difference to it.
 package merger
 
 import (
