--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -128,8 +128,9 @@
 		command("pull", "bring the newest files into a folder and keep the edits made there", "DIR",
 			"geraniumladder --platform http://10.0.0.2:8000 pull configuration", c.pull),
 		{
-			Name:  "key",
-			Usage: "issue and withdraw callers' keys",
+			Name:   "key",
+			Usage:  "issue and withdraw callers' keys",
+			Action: NoCommand,
 			Commands: []*cli.Command{
 				command("issue", "make a key, print its secret once and keep its digest", "",
 					"geraniumladder key issue --organisation st-mary --id st-mary-2", c.keyIssue,
@@ -144,6 +145,15 @@
 	}
 }
 
+// NoCommand is the action of a command that has only subcommands, such as the root. Without it the command line
+// library ends with 3 at an unknown command, which here means an invalid configuration.
+func NoCommand(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() > 0 {
+		return usage("there is no command %q; see \"%s --help\"", cmd.Args().First(), cmd.FullName())
+	}
+	return cli.ShowSubcommandHelp(cmd)
+}
+
 // command makes one command that prints its result, or its error, in the chosen format.
 func command(name, usage, args, example string, run func(context.Context, *cli.Command) (result, error), flags ...cli.Flag) *cli.Command {
 	return &cli.Command{
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -37,7 +37,7 @@
 		Backoff: time.Nanosecond,
 	}
 	var out bytes.Buffer
-	root := &cli.Command{Name: "geraniumladder", Flags: operator.Flags(), Commands: c.Commands(), Writer: &out, ErrWriter: io.Discard,
+	root := &cli.Command{Name: "geraniumladder", Flags: operator.Flags(), Commands: c.Commands(), Action: operator.NoCommand, Writer: &out, ErrWriter: io.Discard,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}}
 	err := root.Run(context.Background(), append([]string{"geraniumladder"}, args...))
 	if err == nil {
@@ -129,6 +129,8 @@
 		{name: "check", args: []string{"check", one}, output: "valid: 1 files with 1 organisations"},
 		{name: "no folder", args: []string{"check"}, code: operator.ExitUsage},
 		{name: "no such folder", args: []string{"check", filepath.Join(one, "none")}, code: operator.ExitUsage},
+		{name: "unknown command", args: []string{"checks", one}, code: operator.ExitUsage},
+		{name: "unknown subcommand", args: []string{"key", "revoke"}, code: operator.ExitUsage},
 		{name: "unknown flag", args: []string{"check", "--depth", "3", one}, code: operator.ExitUsage},
 		{name: "unknown format", args: []string{"check", "--output", "xml", one}, code: operator.ExitUsage},
 		{name: "no platform", args: []string{"apply", one}, code: operator.ExitUsage},
