--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -21,7 +21,8 @@
 // A refund of f tokens is credited only as min(f, g), g being the smallest gap between cap and level + lent since
 // the admission. Adding that amount to the level at every moment since the admission gives a path that never
 // exceeds the cap and refills no faster, so the admissions net of refunds, counted at their admission time, are
-// again a valid history of the bucket and meet the same bound.
+// again a valid history of the bucket and meet the same bound. The same holds for tokens spent from a grant: until
+// the report the lender holds them, and from the report on they are a reservation of the lender's bucket.
 package limiter
 
 import (
@@ -56,12 +57,29 @@
 	End time.Duration
 }
 
-// reservation is an admission whose use is not yet known.
+// reservation is an admission, or a reported grant, whose use is not yet known.
 type reservation struct {
 	sequence uint64
 	tokens   float64
 }
 
+// debt is the place of a reservation in the order of admission.
+type debt struct {
+	id string
+	// until is when the reservation is dropped, so that one that is never settled takes no memory for ever.
+	until time.Duration
+}
+
+// A reservation is dropped after the longest life of a request; one of a reported grant sooner, since its borrower
+// may be gone.
+const (
+	reservationLife = 10 * time.Minute
+	reportedLife    = 2 * time.Minute
+)
+
+// reportedKey keeps the IDs of reported grants apart from those of reservations.
+func reportedKey(grant string) string { return "\x00" + grant }
+
 // Bucket is one entry's share of the token bucket of one organisation. It is an immutable value: each operation
 // returns the new value. Operations share structure with the old value and copy O(log n) of n open reservations.
 // The zero value has no share and admits nothing.
@@ -80,7 +98,7 @@
 	// debts has one node for each open reservation in the order of admission. The sum of the weights up to a node
 	// is the smallest gap cap - level - lent since that admission. tail is what the present gap has grown by since
 	// the newest of them. A fall of the gap takes from the newest debts first, which keeps every sum a minimum.
-	debts tree[uint64, struct{}]
+	debts tree[uint64, debt]
 	tail  float64
 	open  tree[string, reservation]
 	next  uint64
@@ -147,7 +165,7 @@
 	share := float64(b.num) / float64(b.den)
 	b.cap, b.rate = b.config.Burst*share, b.config.Rate*share
 	b.level = max(0, min(b.level, b.cap-b.lent))
-	b.debts, b.open = tree[uint64, struct{}]{}, tree[string, reservation]{}
+	b.debts, b.open = tree[uint64, debt]{}, tree[string, reservation]{}
 	b.tail = max(0, b.cap-b.level-b.lent)
 	return b
 }
@@ -172,7 +190,15 @@
 		b.level += min(gap, b.rate*(now-b.now).Seconds())
 	}
 	b.now = now
-	return b.trimmed()
+	b = b.trimmed()
+	for {
+		sequence, oldest, ok := b.debts.first()
+		if !ok || oldest.until > now {
+			return b
+		}
+		b.open = b.open.remove(oldest.id)
+		b = b.closed(sequence)
+	}
 }
 
 // trimmed lowers the recorded minima to the present gap, newest first.
@@ -219,11 +245,17 @@
 		return b, Decision{Missing: tokens - b.level, Wait: b.WaitFor(tokens)}
 	}
 	b.level -= tokens
+	b.tail += tokens
+	return b.opened(id, tokens, reservationLife), Decision{Admitted: true}
+}
+
+// opened records a reservation; the present gap is the first of its minima.
+func (b Bucket) opened(id string, tokens float64, life time.Duration) Bucket {
 	b.next++
-	b.debts = b.debts.set(b.next, struct{}{}, b.tail+tokens)
+	b.debts = b.debts.set(b.next, debt{id, b.now + life}, b.tail)
 	b.tail = 0
 	b.open = b.open.set(id, reservation{sequence: b.next, tokens: tokens}, 0)
-	return b, Decision{Admitted: true}
+	return b
 }
 
 // WaitFor returns the time until refill raises the level to tokens, Never if it cannot.
@@ -256,15 +288,19 @@
 		b.debts, credited = b.debts.drain(r.sequence, unused)
 		b.level += credited
 	}
-	// What is left of the debt lies between the neighbours' admissions and counts for the later one.
-	left := b.debts.weight(r.sequence)
-	b.debts = b.debts.remove(r.sequence)
-	if after, ok := b.debts.after(r.sequence); ok {
-		b.debts = b.debts.set(after, struct{}{}, b.debts.weight(after)+left)
+	return b.closed(r.sequence).trimmed()
+}
+
+// closed forgets a debt. What is left of it lies between the neighbours' admissions and counts for the later one.
+func (b Bucket) closed(sequence uint64) Bucket {
+	left := b.debts.weight(sequence)
+	b.debts = b.debts.remove(sequence)
+	if after, value, ok := b.debts.after(sequence); ok {
+		b.debts = b.debts.set(after, value, b.debts.weight(after)+left)
 	} else {
 		b.tail += left
 	}
-	return b.trimmed()
+	return b
 }
 
 // Open returns the number of reservations that can still bring a refund.
@@ -279,6 +315,9 @@
 			return b, g.Tokens
 		}
 	}
+	if _, reported := b.open.get(reportedKey(id)); reported {
+		return b, 0
+	}
 	amount := min(tokens, b.level)
 	// The negated comparison also rejects a count that is not a number.
 	if !(amount > 0) || end <= b.now {
@@ -295,7 +334,8 @@
 	return b, amount
 }
 
-// Repay closes the grant under id, spent of which the borrower has used and no more of which it will use.
+// Repay closes the grant under id, spent of which the borrower has used and no more of which it will use. A second
+// report with a smaller number is a refund of what the admissions did not need, credited as in Settle.
 // An unknown or expired id changes nothing.
 func (b Bucket) Repay(id string, spent float64, now time.Duration) Bucket {
 	b = b.Advance(now)
@@ -305,9 +345,16 @@
 			if !(spent >= 0) {
 				spent = g.Tokens
 			}
-			return b.without(i, min(spent, g.Tokens))
+			b = b.without(i, min(spent, g.Tokens))
+			if spent > 0 {
+				b = b.opened(reportedKey(id), min(spent, g.Tokens), reportedLife)
+			}
+			return b
 		}
 	}
+	if r, ok := b.open.get(reportedKey(id)); ok && spent < r.tokens {
+		return b.Settle(reportedKey(id), spent, now)
+	}
 	return b
 }
 
--- a/pkg/limiter/purse.go
+++ b/pkg/limiter/purse.go
@@ -58,23 +58,31 @@
 	return sum
 }
 
+// Part is what an admission has spent of one grant.
+type Part struct {
+	Grant  string
+	Tokens float64
+}
+
 // Spend takes tokens from the usable grants, the earliest end first, or says that they do not cover them.
-func (p Purse) Spend(tokens float64, now time.Duration) (Purse, bool) {
+func (p Purse) Spend(tokens float64, now time.Duration) (Purse, []Part, bool) {
 	if tokens <= 0 {
-		return p, true
+		return p, nil, true
 	}
 	if tokens > p.Available(now) {
-		return p, false
+		return p, nil, false
 	}
+	var parts []Part
 	grants := slices.Clone(p.grants)
 	for i := range grants {
-		if g := &grants[i]; now < g.End {
+		if g := &grants[i]; now < g.End && g.Left() > 0 && tokens > 0 {
 			take := min(tokens, g.Left())
 			g.Spent += take
 			tokens -= take
+			parts = append(parts, Part{g.ID, take})
 		}
 	}
-	return Purse{grants}, true
+	return Purse{grants}, parts, true
 }
 
 // Close removes a grant, for a report to its lender. Nothing can be spent from it afterwards.
@@ -101,3 +109,12 @@
 
 // Grants returns the open grants, earliest end first.
 func (p Purse) Grants() []Borrowed { return slices.Clone(p.grants) }
+
+func (p Purse) lender(id string) string {
+	for _, g := range p.grants {
+		if g.ID == id {
+			return g.Lender
+		}
+	}
+	return ""
+}
--- a/pkg/limiter/tree.go
+++ b/pkg/limiter/tree.go
@@ -74,17 +74,25 @@
 	return 0
 }
 
-// after returns the smallest key above key.
-func (t tree[K, V]) after(key K) (next K, ok bool) {
+// after returns the entry with the smallest key above key.
+func (t tree[K, V]) after(key K) (next K, value V, ok bool) {
 	for n := t.root; n != nil; {
 		if n.key > key {
-			next, ok = n.key, true
+			next, value, ok = n.key, n.value, true
 			n = n.left
 		} else {
 			n = n.right
 		}
 	}
-	return next, ok
+	return next, value, ok
+}
+
+// first returns the entry with the smallest key.
+func (t tree[K, V]) first() (key K, value V, ok bool) {
+	for n := t.root; n != nil; n = n.left {
+		key, value, ok = n.key, n.value, true
+	}
+	return key, value, ok
 }
 
 // set inserts or replaces the entry of key.
