--- a/pkg/pinner/pinner.go
+++ b/pkg/pinner/pinner.go
@@ -62,13 +62,14 @@
 	Worth(use Use, now time.Duration) float64
 }
 
-// LRU evicts the adapter that was used least recently. It is the baseline.
+// LRU evicts the adapter that was used least recently.
 type LRU struct{}
 
 // Worth is the time of the last use.
 func (LRU) Worth(use Use, _ time.Duration) float64 { return use.Last.Seconds() }
 
-// AgedFrequency evicts the adapter with the smallest decayed count of requests.
+// AgedFrequency evicts the adapter with the smallest decayed count of requests. It is better than LRU only where requests
+// for one adapter don't follow each other (docs/design/003-placement.md).
 type AgedFrequency struct{}
 
 // Worth is the decayed count.
@@ -88,7 +89,7 @@
 	Slots int
 	// MaxLoading bounds the loads in flight at this engine; Slots when 0.
 	MaxLoading int
-	// Eviction is AgedFrequency when nil.
+	// Eviction is LRU when nil.
 	Eviction Eviction
 	// HalfLife is the time in which a count of requests halves; DefaultHalfLife when 0.
 	HalfLife time.Duration
@@ -128,7 +129,7 @@
 		c.MaxLoading = c.Slots
 	}
 	if c.Eviction == nil {
-		c.Eviction = AgedFrequency{}
+		c.Eviction = LRU{}
 	}
 	if c.HalfLife <= 0 {
 		c.HalfLife = DefaultHalfLife
--- a/pkg/placer/demand.go
+++ b/pkg/placer/demand.go
@@ -44,14 +44,22 @@
 
 // rate is the demand in tokens a second.
 func (d demand) rate(key uint64, now time.Duration) float64 {
+	n := d.find(key)
+	if n == nil {
+		return 0
+	}
+	return n.decayed(now) / demandTime.Seconds()
+}
+
+func (d demand) find(key uint64) *demandNode {
 	n := d.root
 	for shift := 0; n != nil && n.branch != nil; shift += 4 {
 		n = n.branch[key>>shift&15]
 	}
 	if n == nil || n.key != key {
-		return 0
+		return nil
 	}
-	return n.decayed(now) / demandTime.Seconds()
+	return n
 }
 
 // pruned keeps the adapters that were used lately, halving the accepted age until half of the limit is left.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -60,16 +60,22 @@
 const (
 	DefaultLoadTime = 250 * time.Millisecond
 	// DefaultLoadPrice is added to the time of a load because the fleet's loads are few: a load that spares one request
-	// less than this delays other requests for longer.
-	DefaultLoadPrice = 500 * time.Millisecond
+	// less than this delays other requests for longer. Measured from 0.5 s to 4 s: above 2 s the p99 rises, below it
+	// the loads of adapters that are resident elsewhere double.
+	DefaultLoadPrice = 2 * time.Second
 	// DefaultHomeShare is the part of an endpoint's speed that one adapter's demand may use before another home is used.
 	DefaultHomeShare = 0.3
-	// DefaultSpill is the number of endpoints considered beyond the homes in use.
+	// DefaultSpill is the number of endpoints considered beyond the homes in use. With 0 a cold adapter waits at a busy
+	// home; with 2 or more, entries with different late views load one adapter at different endpoints.
 	DefaultSpill = 1
 	// DefaultPrefillSpeed is the number of prompt tokens processed in the time of one generated token.
-	DefaultPrefillSpeed = 10
-	// DefaultCrowding is added at a full batch, and in proportion below: larger batches take longer steps.
-	DefaultCrowding = 50 * time.Millisecond
+	DefaultPrefillSpeed = 25
+	// DefaultStray is added at an endpoint that holds the adapter but is none of its homes at the present demand, so that
+	// copies which the demand doesn't need fall idle and their slots are used for other adapters.
+	DefaultStray = 100 * time.Millisecond
+	// DefaultCrowding is added at a full batch, and in proportion below. It is larger than the longer steps of a larger
+	// batch cost, because a request also takes the room of the next.
+	DefaultCrowding = 200 * time.Millisecond
 	// DefaultNearEqual is the difference up to which two expected times count as equal; reports are late by more.
 	DefaultNearEqual = 10 * time.Millisecond
 	// DefaultCrossDomain is the round trip to another failure domain.
@@ -77,13 +83,14 @@
 )
 
 // ExpectedTime chooses the least expected time to the first token among the endpoints where the adapter is resident or
-// loading, and its first homes by weighted rendezvous hashing. Zero fields have the defaults above.
+// loading, and its first homes by weighted rendezvous hashing. Zero fields have the defaults above; a negative Spill is none.
 type ExpectedTime struct {
 	LoadTime     time.Duration
 	LoadPrice    time.Duration
 	HomeShare    float64
 	Spill        int
 	PrefillSpeed float64
+	Stray        time.Duration
 	Crowding     time.Duration
 	NearEqual    time.Duration
 	CrossDomain  time.Duration
@@ -95,13 +102,14 @@
 	p.HomeShare = cmp.Or(p.HomeShare, DefaultHomeShare)
 	p.Spill = cmp.Or(p.Spill, DefaultSpill)
 	p.PrefillSpeed = cmp.Or(p.PrefillSpeed, DefaultPrefillSpeed)
+	p.Stray = cmp.Or(p.Stray, DefaultStray)
 	p.Crowding = cmp.Or(p.Crowding, DefaultCrowding)
 	p.NearEqual = cmp.Or(p.NearEqual, DefaultNearEqual)
 	p.CrossDomain = cmp.Or(p.CrossDomain, DefaultCrossDomain)
 	return p
 }
 
-// candidate is an endpoint with its cost; score includes the load price and ranks, expected does not.
+// candidate is an endpoint with its expected time, and with its score, which adds the prices and ranks.
 type candidate struct {
 	e        *endpoint
 	score    time.Duration
@@ -125,25 +133,31 @@
 		}
 		for _, e := range members {
 			cost := p.wait(e, r)
-			best = append(best, candidate{e: e, score: cost, expected: cost, reason: reason})
+			best = append(best, candidate{e: e, score: cost + p.crowding(e), expected: cost, reason: reason})
 		}
 		return p.pick(best, rng), nil
 	}
 	key := hashName(r.Adapter)
+	inUse := p.homes(v, r, members[0], now)
+	homes := topHomes(members, key, inUse+max(0, p.Spill))
+	rank := func(e *endpoint) int { return slices.IndexFunc(homes, func(h home) bool { return h.e == e }) }
 	for _, e := range members {
 		if left, reason, ok := p.present(e, key, now); ok {
 			cost := p.wait(e, r) + left
-			best = append(best, candidate{e: e, score: cost, expected: cost, reason: reason})
+			c := candidate{e: e, score: cost + p.crowding(e), expected: cost, reason: reason}
+			if i := rank(e); i < 0 || i >= inUse {
+				c.score += p.Stray
+			}
+			best = append(best, c)
 		}
 	}
-	homes := p.homes(v, r, members[0], now)
-	for i, h := range topHomes(members, key, homes+p.Spill) {
+	for i, h := range homes {
 		if slices.ContainsFunc(best, func(c candidate) bool { return c.e == h.e }) {
 			continue
 		}
 		cost := p.wait(h.e, r) + p.LoadTime + r.PermitWait
-		c := candidate{e: h.e, score: cost + p.LoadPrice, expected: cost, needs: true, reason: "home"}
-		if i >= homes {
+		c := candidate{e: h.e, score: cost + p.crowding(h.e) + p.LoadPrice, expected: cost, needs: true, reason: "home"}
+		if i >= inUse {
 			c.reason = "spill"
 		}
 		best = append(best, c)
@@ -186,7 +200,6 @@
 		prompt = max(0, prompt-r.PrefixTokens)
 	}
 	seconds += float64(prompt) / (e.TokensPerSecond * p.PrefillSpeed)
-	seconds += p.Crowding.Seconds() * min(1, float64(requests)/float64(e.MaxRunning))
 	cost := time.Duration(seconds * float64(time.Second))
 	if r.FailureDomain != "" && r.FailureDomain != e.FailureDomain {
 		cost += p.CrossDomain
@@ -194,6 +207,30 @@
 	return cost
 }
 
+func (p ExpectedTime) crowding(e *endpoint) time.Duration {
+	return time.Duration(float64(p.Crowding) * min(1, occupied(e)))
+}
+
+// WaitingLoad is an adapter's load that waits for a permit.
+type WaitingLoad struct {
+	// Requests wait for it, and Since is the sum of the times at which they began to.
+	Requests int
+	Since    time.Duration
+}
+
+// NextLoad returns the position of the load that gets the next permit: the one whose requests have waited longest in
+// sum. After a shift of popularity the adapters with most requests are loaded first, and no load waits forever, because
+// its sum grows. It returns -1 when none waits.
+func NextLoad(waiting []WaitingLoad, now time.Duration) int {
+	next, longest := -1, time.Duration(-1)
+	for i, w := range waiting {
+		if sum := time.Duration(w.Requests)*now - w.Since; w.Requests > 0 && sum > longest {
+			next, longest = i, sum
+		}
+	}
+	return next
+}
+
 // pick chooses the less occupied of two random candidates whose scores are near the best, so that entries with the same
 // late reports don't all choose the same endpoint.
 func (p ExpectedTime) pick(all []candidate, rng *rand.Rand) Decision {
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -155,6 +155,16 @@
 	assert.Assert(t, v.Demand("a@1", time.Hour) < 1)
 }
 
+// TestNextLoad guards against a load that waits forever behind popular ones, and against first come first served, which
+// makes the requests of a popular adapter wait behind single requests.
+func TestNextLoad(t *testing.T) {
+	const s = time.Second
+	popular, old := placer.WaitingLoad{Requests: 5, Since: 5 * 9 * s}, placer.WaitingLoad{Requests: 1, Since: 6 * s}
+	assert.Equal(t, placer.NextLoad([]placer.WaitingLoad{old, {}, popular}, 10*s), 2)
+	assert.Equal(t, placer.NextLoad([]placer.WaitingLoad{old, {}, {Requests: 5, Since: 5 * 19 * s}}, 20*s), 0)
+	assert.Equal(t, placer.NextLoad([]placer.WaitingLoad{{}}, 10*s), -1)
+}
+
 // BenchmarkView measures one choice, and one sent request, by the numbers of endpoints and adapters.
 func BenchmarkView(b *testing.B) {
 	for _, endpoints := range []int{4, 18, 730} {
--- a/pkg/placer/view.go
+++ b/pkg/placer/view.go
@@ -86,7 +86,8 @@
 	PermitWait time.Duration
 }
 
-func (r Request) tokens() int64 { return int64(r.PromptTokens + r.AnswerTokens) }
+// tokens is the request's work in generated tokens: a prompt token costs a small part of one.
+func (r Request) tokens() int64 { return int64(r.AnswerTokens + r.PromptTokens/DefaultPrefillSpeed) }
 
 // Endpoint is a copy of what the view knows of one endpoint, for status pages.
 type Endpoint struct {
