Follow the better of two eviction policies

LRU needs fewer loads where requests come in sessions, frequency where they don't. Slots now keep what each of both would hold, and follow the one with fewer recent misses.

--- a/internal/experimenter/placement.go
+++ b/internal/experimenter/placement.go
@@ -61,16 +61,18 @@
 	Eviction pinner.Eviction
 }
 
-// PlacementPolicies are the product's policy and the baselines; all have the same eviction except one, which
-// shows what the eviction adds.
+// PlacementPolicies are the product's policy, which is first, and the baselines. All have the same eviction except two,
+// which show what the eviction adds.
 func PlacementPolicies() []PlacementPolicy {
+	adaptive := pinner.Adaptive{First: pinner.LRU{}, Second: pinner.AgedFrequency{}}
 	return []PlacementPolicy{
-		{"expected time", placer.ExpectedTime{}, pinner.LRU{}},
+		{"expected time", placer.ExpectedTime{}, adaptive},
+		{"expected time, LRU", placer.ExpectedTime{}, pinner.LRU{}},
 		{"expected time, frequency", placer.ExpectedTime{}, pinner.AgedFrequency{}},
-		{"random", placer.Random{}, pinner.LRU{}},
-		{"least loaded", placer.LeastLoaded{}, pinner.LRU{}},
-		{"hash", placer.RendezvousHash{}, pinner.LRU{}},
-		{"bounded hash", placer.BoundedHash{}, pinner.LRU{}},
+		{"random", placer.Random{}, adaptive},
+		{"least loaded", placer.LeastLoaded{}, adaptive},
+		{"hash", placer.RendezvousHash{}, adaptive},
+		{"bounded hash", placer.BoundedHash{}, adaptive},
 	}
 }
 
--- a/internal/experimenter/placement_test.go
+++ b/internal/experimenter/placement_test.go
@@ -21,7 +21,7 @@
 func TestPlacement(t *testing.T) {
 	size := brief()
 	policies := experimenter.PlacementPolicies()
-	policies = []experimenter.PlacementPolicy{policies[0], policies[3]}
+	policies = []experimenter.PlacementPolicy{policies[0], policies[4]}
 	for _, scenario := range experimenter.PlacementScenarios() {
 		rows := experimenter.PlacementOf(1, size, scenario, policies)
 		bound := rows[len(rows)-1]
--- a/pkg/pinner/pinner.go
+++ b/pkg/pinner/pinner.go
@@ -69,16 +69,29 @@
 func (LRU) Worth(use Use, _ time.Duration) float64 { return use.Last.Seconds() }
 
 // AgedFrequency evicts the adapter with the smallest decayed count of requests. It is better than LRU only where requests
-// for one adapter don't follow each other (docs/design/003-placement.md).
+// for one adapter don't come in sessions (docs/design/003-placement.md).
 type AgedFrequency struct{}
 
 // Worth is the decayed count.
 func (AgedFrequency) Worth(use Use, _ time.Duration) float64 { return use.Count }
 
+// Adaptive follows the one of two policies that would have needed fewer loads for the latest requests. For each policy
+// Slots keep the adapters that slots without pins would hold, and a decayed count of the requests that these miss.
+type Adaptive struct {
+	First, Second Eviction
+	// HalfLife is that of the counts; DefaultAdaptiveHalfLife when 0.
+	HalfLife time.Duration
+}
+
+// Worth is that of First; Slots choose between the two.
+func (a Adaptive) Worth(use Use, now time.Duration) float64 { return a.First.Worth(use, now) }
+
 // Defaults of Config.
 const (
 	// DefaultHalfLife halves the counts often enough to follow a shift of popularity within minutes.
 	DefaultHalfLife = 2 * time.Minute
+	// DefaultAdaptiveHalfLife is short enough to follow a shift of popularity; 30 s to 1,000 s made little difference.
+	DefaultAdaptiveHalfLife = time.Minute
 	// DefaultHistory is the number of evicted adapters, for each slot, whose counts are kept.
 	DefaultHistory = 16
 )
@@ -89,7 +102,7 @@
 	Slots int
 	// MaxLoading bounds the loads in flight at this engine; Slots when 0.
 	MaxLoading int
-	// Eviction is LRU when nil.
+	// Eviction is Adaptive between LRU and AgedFrequency when nil.
 	Eviction Eviction
 	// HalfLife is the time in which a count of requests halves; DefaultHalfLife when 0.
 	HalfLife time.Duration
@@ -120,6 +133,15 @@
 	pins []pin
 	// history holds counts of evicted adapters, at most config.History.
 	history []Use
+	// shadows belong to Adaptive's policies.
+	shadows [2]shadow
+}
+
+// shadow is what slots without pins would hold with one policy.
+type shadow struct {
+	uses   []Use
+	misses float64 // As of at.
+	at     time.Duration
 }
 
 // New returns empty slots.
@@ -129,7 +151,11 @@
 		c.MaxLoading = c.Slots
 	}
 	if c.Eviction == nil {
-		c.Eviction = LRU{}
+		c.Eviction = Adaptive{First: LRU{}, Second: AgedFrequency{}}
+	}
+	if a, ok := c.Eviction.(Adaptive); ok && a.HalfLife <= 0 {
+		a.HalfLife = DefaultAdaptiveHalfLife
+		c.Eviction = a
 	}
 	if c.HalfLife <= 0 {
 		c.HalfLife = DefaultHalfLife
@@ -157,7 +183,7 @@
 		}
 		s.slots = slices.Clone(s.slots)
 		s.slots[i].use = s.used(s.slots[i].use, now)
-		return s.withPin(at, request, name), Action{Kind: kind}
+		return s.shadowing(s.slots[i].use, now).withPin(at, request, name), Action{Kind: kind}
 	}
 	if !hasPermit {
 		return s, Action{Kind: NeedsPermit}
@@ -181,7 +207,7 @@
 		s = s.remembering(s.slots[victim].use, now)
 		s.slots[victim] = fresh
 	}
-	return s.withPin(at, request, name), Action{Kind: Load, Evict: evict}
+	return s.shadowing(fresh.use, now).withPin(at, request, name), Action{Kind: Load, Evict: evict}
 }
 
 // Loaded records that the load of the adapter has ended, and returns the requests that waited for it, sorted.
@@ -250,7 +276,7 @@
 		lost = append(lost, p.request)
 	}
 	old := s.slots
-	next = Slots{config: s.config, history: s.history}
+	next = Slots{config: s.config, history: s.history, shadows: s.shadows}
 	for _, name := range resident {
 		switch {
 		case next.findSlot(name) >= 0:
@@ -309,6 +335,7 @@
 // are in flight.
 func (s Slots) room(now time.Duration) (victim int, ok bool) {
 	loading := 0
+	eviction := s.eviction(now)
 	victim = -1
 	worst := 0.0
 	for i, sl := range s.slots {
@@ -319,7 +346,7 @@
 		if s.isPinned(sl.use.Name) {
 			continue
 		}
-		worth := s.config.Eviction.Worth(s.decayed(sl.use, now), now)
+		worth := eviction.Worth(s.decayed(sl.use, now), now)
 		if victim < 0 || worth < worst || worth == worst && sl.use.Last < s.slots[victim].use.Last {
 			victim, worst = i, worth
 		}
@@ -333,6 +360,61 @@
 	return victim, victim >= 0
 }
 
+// eviction returns the policy to follow.
+func (s Slots) eviction(now time.Duration) Eviction {
+	a, ok := s.config.Eviction.(Adaptive)
+	switch {
+	case !ok:
+		return s.config.Eviction
+	case s.shadows[1].missesAt(now, a.HalfLife) < s.shadows[0].missesAt(now, a.HalfLife):
+		return a.Second
+	default:
+		return a.First
+	}
+}
+
+// shadowing gives the shadows the request, of which use is the record.
+func (s Slots) shadowing(use Use, now time.Duration) Slots {
+	a, ok := s.config.Eviction.(Adaptive)
+	if !ok {
+		return s
+	}
+	for i, eviction := range [2]Eviction{a.First, a.Second} {
+		sh := s.shadows[i]
+		uses := append(make([]Use, 0, s.config.Slots), sh.uses...)
+		at := slices.IndexFunc(uses, func(u Use) bool { return u.Name == use.Name })
+		if at < 0 {
+			sh.misses, sh.at = sh.missesAt(now, a.HalfLife)+1, now
+			at = s.least(uses, eviction, now)
+		}
+		if at == len(uses) {
+			uses = append(uses, use)
+		}
+		uses[at] = use
+		sh.uses = uses
+		s.shadows[i] = sh
+	}
+	return s
+}
+
+// least returns the position of the least worth, or the end when there is room for another.
+func (s Slots) least(uses []Use, eviction Eviction, now time.Duration) int {
+	if len(uses) < s.config.Slots {
+		return len(uses)
+	}
+	at, worst := 0, math.Inf(1)
+	for i, u := range uses {
+		if worth := eviction.Worth(s.decayed(u, now), now); worth < worst {
+			at, worst = i, worth
+		}
+	}
+	return at
+}
+
+func (sh shadow) missesAt(now, halfLife time.Duration) float64 {
+	return sh.misses * decay(now-sh.at, halfLife)
+}
+
 // decayed returns the use with its count as of now; Last is kept.
 func (s Slots) decayed(u Use, now time.Duration) Use {
 	u.Count *= decay(now-u.Last, s.config.HalfLife)
--- a/pkg/pinner/pinner_test.go
+++ b/pkg/pinner/pinner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -70,6 +71,36 @@
 	assert.Equal(t, victim(pinner.AgedFrequency{}, 10*time.Minute), "often")
 }
 
+// TestAdaptive guards against following the worse of two policies: LRU where requests come in any order, and frequency
+// where they come in sessions.
+func TestAdaptive(t *testing.T) {
+	policies := []pinner.Eviction{pinner.LRU{}, pinner.AgedFrequency{}, pinner.Adaptive{First: pinner.LRU{}, Second: pinner.AgedFrequency{}}}
+	for _, session := range []int{1, 10} {
+		var loads [3]int
+		for i, e := range policies {
+			rng := rand.New(rand.NewPCG(1, 2))
+			popularity := rand.NewZipf(rng, 1.3, 1, 200)
+			s := pinner.New(pinner.Config{Slots: 8, Eviction: e})
+			open := make([]uint64, 5) // The adapters of the open sessions.
+			for step := range 5000 {
+				at := rng.IntN(len(open))
+				if rng.IntN(session) == 0 {
+					open[at] = popularity.Uint64()
+				}
+				name := fmt.Sprint(open[at])
+				var a pinner.Action
+				if s, a = s.Take(name, "r", true, time.Duration(step)*time.Second); a.Kind == pinner.Load {
+					loads[i]++
+				}
+				s, _ = s.Loaded(name)
+				s = s.Release("r")
+			}
+		}
+		assert.Assert(t, (loads[0] < loads[1]) == (session > 1), "%v", loads)
+		assert.Assert(t, float64(loads[2]) < 1.05*float64(min(loads[0], loads[1])), "%v", loads)
+	}
+}
+
 // TestSlotsProperties guards against eviction of a pinned adapter, more adapters than slots, a waiter that is never
 // told how its load ended, belief in residents after Reset, and changes to an earlier value.
 func TestSlotsProperties(t *testing.T) {
