--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -51,6 +51,15 @@
 	// GroupingTokens bounds the cost of the requests with a resident adapter that may be served before one whose
 	// adapter is absent. Without it the order ignores residency.
 	GroupingTokens float64
+	// Reserved is how many of MaxRunning are kept free for organisations that run less than their share of MaxRunning
+	// among the organisations seen within ActiveFor. Without it an organisation with a long queue holds the whole batch,
+	// and each request of another one waits for the end of one of its requests. None is kept while one organisation is
+	// alone, nor when State.RunningBy is nil.
+	Reserved int
+	// ReservedTokens bounds the service by which an organisation gets ahead of others through Reserved.
+	ReservedTokens float64
+	// ActiveFor is DefaultActiveFor when 0.
+	ActiveFor time.Duration
 	// MaxLongPrefills bounds how many prompts of at least LongPromptTokens are processed at once; no limit when 0.
 	MaxLongPrefills  int
 	LongPromptTokens int
@@ -60,10 +69,15 @@
 	PromptTokensPerSecond float64
 }
 
+// DefaultActiveFor is how long after its last arrival an organisation keeps its share of the batch.
+const DefaultActiveFor = time.Minute
+
 // State is what the endpoint reports at the time of a pick.
 type State struct {
 	// Running is the number of requests given to the engine and not ended.
 	Running int
+	// RunningBy is the part of Running of one organisation.
+	RunningBy func(organisation string) int
 	// LongPrefills is the number of long prompts given to the engine whose first token has not come.
 	LongPrefills int
 	// Resident says whether an adapter can be used without a load; all can when nil.
@@ -79,7 +93,7 @@
 // pick: the value that a method was called on must not be used again, and one owner at a time may call methods.
 //
 // While two organisations both wait, their services, each over its weight, differ by at most
-// 2·max(cost of one request, cost of a full batch)/weight + GroupingTokens/weight.
+// 2·max(cost of one request, cost of a full batch)/weight + max(GroupingTokens, ReservedTokens)/weight.
 type Queue struct {
 	config Config
 	*state
@@ -106,6 +120,8 @@
 type organisation struct {
 	Standing
 	weight float64
+	// seen is the time of the last arrival.
+	seen time.Duration
 	// floor is the counter that the organisation had when it last returned from idle. A correction for a request
 	// from before does not go below it, which would be credit for idle time.
 	floor float64
@@ -142,6 +158,9 @@
 	if c.Policy == nil {
 		c.Policy = TokenCounter{}
 	}
+	if c.ActiveFor == 0 {
+		c.ActiveFor = DefaultActiveFor
+	}
 	return Queue{config: c, state: &state{organisations: map[string]*organisation{}, items: map[string]*item{}}}
 }
 
@@ -158,7 +177,7 @@
 	}
 	o := q.organisation(r.Organisation)
 	// A changed weight applies to the service from now on.
-	o.weight = r.Weight
+	o.weight, o.seen = r.Weight, now
 	if o.waiting == 0 {
 		q.enter(o)
 	}
@@ -183,7 +202,7 @@
 
 // Next picks the request to give to the engine. When its adapter is absent, the owner starts the load and sets the
 // request aside until it is ready.
-func (q Queue) Next(s State, _ time.Duration) (Queue, Request, bool) {
+func (q Queue) Next(s State, now time.Duration) (Queue, Request, bool) {
 	if q.config.MaxRunning > 0 && s.Running >= q.config.MaxRunning {
 		return q, Request{}, false
 	}
@@ -191,6 +210,9 @@
 	if first == nil {
 		return q, Request{}, false
 	}
+	if first = q.unreserved(first, s, now); first == nil {
+		return q, Request{}, false
+	}
 	pick := q.grouped(first, s)
 	if pick != first {
 		first.bypassed += pick.Cost()
@@ -306,6 +328,36 @@
 	return best
 }
 
+// unreserved returns first, if the batch has room for its organisation beside the reserved part, else the request that
+// comes next among the organisations below their share, or nil.
+func (q Queue) unreserved(first *item, s State, now time.Duration) *item {
+	if s.RunningBy == nil || q.config.Reserved == 0 || s.Running < q.config.MaxRunning-q.config.Reserved {
+		return first
+	}
+	weights := 0.0
+	for _, o := range q.organisations {
+		if o.waiting > 0 || now-o.seen < q.config.ActiveFor {
+			weights += o.weight
+		}
+	}
+	below := func(o *organisation) bool {
+		return float64(s.RunningBy(o.Organisation)) < float64(q.config.MaxRunning)*o.weight/weights
+	}
+	if below(first.organisation) {
+		return first
+	}
+	var best *item
+	for it := range q.heads(s) {
+		if !below(it.organisation) || q.lead(it, first) > q.config.ReservedTokens {
+			continue
+		}
+		if best == nil || q.config.Policy.Before(it.standing(), best.standing()) {
+			best = it
+		}
+	}
+	return best
+}
+
 func (it *item) standing() Standing {
 	standing := it.organisation.Standing
 	standing.Head = it.arrival
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -125,6 +125,51 @@
 		served[next().Organisation]++
 	}
 	assert.Assert(t, served["b"] <= 21, "%v", served)
+	for i := range 50 {
+		add(i, "new", 0)
+	}
+	clear(served)
+	for range 30 {
+		served[next().Organisation]++
+	}
+	assert.Assert(t, served["new"] <= 11, "%v", served)
+}
+
+// Guards against an organisation with a long queue that holds the whole batch, so that requests of others wait for the
+// end of one of its own, and against a batch that stays partly empty when there is nobody to keep it for.
+func TestReservedPartOfTheBatch(t *testing.T) {
+	q := scheduler.New(scheduler.Config{MaxRunning: 8, Reserved: 3, ReservedTokens: 100})
+	running := map[string]int{}
+	fill := func(now time.Duration) (total int) {
+		for ok := true; ok; {
+			total = running["large"] + running["small"]
+			s := scheduler.State{Running: total, RunningBy: func(o string) int { return running[o] }}
+			var r scheduler.Request
+			if q, r, ok = q.Next(s, now); ok {
+				running[r.Organisation]++
+			}
+		}
+		return total
+	}
+	add := func(organisation string, n, tokens int, now time.Duration) {
+		for i := range n {
+			id := fmt.Sprintf("%s-%s-%d", organisation, now, i)
+			q = q.WithRequest(scheduler.Request{ID: id, Organisation: organisation, PromptTokens: tokens}, now)
+		}
+	}
+	add("large", 20, 10, 0)
+	assert.Equal(t, fill(0), 8, "nobody else is there")
+	running["large"] = 0
+	add("small", 1, 10, 0)
+	assert.Equal(t, fill(0), 5)
+	add("small", 2, 10, time.Second)
+	assert.Equal(t, fill(time.Second), 7)
+	add("small", 1, 1000, time.Second)
+	assert.Equal(t, fill(time.Second), 7, "the lead that the reserved part gives is bounded")
+	q = q.Without("small-1s-0")
+	running["small"] = 0
+	assert.Equal(t, fill(30*time.Second), 5)
+	assert.Equal(t, fill(2*time.Minute), 8, "the other one has not been seen for long")
 }
 
 // Guards against short prompts that wait behind long ones, and long ones that are lost on the way.
