Fix a deadlock between router and lender; wire operators' commands

Cause: the lender asks for the entry's state while it holds its lock, and the router asked the lender for its peers while it held its own. Ruled out: the follower, whose callbacks run without its lock. Change: the state is atomic, and the router calls lender and follower without its lock.

--- a/cmd/geraniumladder/main.go
+++ b/cmd/geraniumladder/main.go
@@ -10,7 +10,9 @@
 	"github.com/urfave/cli/v3"
 
 	"geraniumladder/internal/emulator"
+	"geraniumladder/internal/inspector"
 	"geraniumladder/internal/launcher"
+	"geraniumladder/internal/operator"
 )
 
 func main() {
@@ -18,7 +20,14 @@
 		Name:                  "geraniumladder",
 		Usage:                 "serve many LoRA adapters over shared base models",
 		EnableShellCompletion: true,
-		Commands:              slices.Concat(launcher.Commands(), []*cli.Command{emulator.Commands()}),
+		Flags:                 operator.Flags(),
+		Action:                operator.NoCommand,
+		Commands: slices.Concat(
+			launcher.Commands(),
+			operator.Config{InForce: inspector.ForOperators}.Commands(),
+			inspector.Commands(),
+			[]*cli.Command{emulator.Commands()},
+		),
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "geraniumladder: "+err.Error())
--- a/internal/experimenter/fairness.go
+++ b/internal/experimenter/fairness.go
@@ -88,7 +88,9 @@
 func (r FairnessRow) ShareRatio() float64 { return r.ShareAlone / r.Share }
 
 // Met says whether the variant is within FairnessTarget.
-func (r FairnessRow) Met() bool { return r.Ratio() <= FairnessTarget && r.ShareRatio() <= FairnessTarget }
+func (r FairnessRow) Met() bool {
+	return r.Ratio() <= FairnessTarget && r.ShareRatio() <= FairnessTarget
+}
 
 // Fairness measures, in virtual time and on the same trace, how much each organisation notices of a neighbour that
 // sends several times its rate: at one endpoint, and at several over which entries spread the requests.
--- a/internal/inspector/commands.go
+++ b/internal/inspector/commands.go
@@ -16,6 +16,7 @@
 
 	"geraniumladder/internal/authenticator"
 	"geraniumladder/internal/messenger"
+	"geraniumladder/internal/operator"
 	"geraniumladder/internal/storer"
 	"geraniumladder/internal/wire"
 )
@@ -206,3 +207,21 @@
 	}
 	return table.Render()
 }
+
+// ForOperators returns what tells the operators' commands on which entries a revision is in force. The processes'
+// secret comes from the environment; without it, each question fails and says so.
+func ForOperators(platform string) operator.InForce {
+	signer, err := authenticator.New(authenticator.Config{Secret: os.Getenv("GERANIUMLADDER_SECRET")})
+	if err != nil {
+		return noSecret{errors.Wrap(err, "GERANIUMLADDER_SECRET, by which the entries are asked for their revision, is not usable; set it")}
+	}
+	return New(Config{
+		Platform:  storer.NewClient(storer.ClientConfig{URL: platform}),
+		Messenger: messenger.New(messenger.Config{Signer: signer}),
+	})
+}
+
+type noSecret struct{ err error }
+
+// InForce implements operator.InForce.
+func (n noSecret) InForce(context.Context, int64) ([]string, error) { return nil, n.err }
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -145,6 +145,7 @@
 // readList joins the platform's list with what the sidecars say of themselves.
 func (r *Router) readList(ctx context.Context) {
 	list, err := r.config.Platform.List(ctx)
+	_, reachable, _ := r.config.Lender.Peers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.elapsed()
@@ -163,6 +164,5 @@
 	}
 	r.members = r.members.Pruned(now)
 	r.refreshStates(now)
-	_, reachable, _ := r.config.Lender.Peers()
 	r.view = r.view.WithEntries(reachable + 1)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,6 +71,11 @@
 	now     func() time.Time
 	started time.Time
 
+	// leaving fails /healthz; draining, below, also refuses new requests. The lender asks for the state while it holds
+	// its own lock, so this is not under mu.
+	leaving atomic.Bool
+
+	// mu is never held while the lender or the follower is called.
 	mu sync.Mutex
 	// members and view are replaced as a whole; states is what was last carried over from members to view.
 	members tracker.Table[wire.Descriptor]
@@ -78,9 +84,8 @@
 	retries retrier.Retrier
 	rng     *rand.Rand
 	// calls are those being answered, by request ID.
-	calls map[string]*openCall
-	// leaving fails /healthz; draining also refuses new requests.
-	leaving, draining bool
+	calls    map[string]*openCall
+	draining bool
 	// idle is closed when the router drains and no call is open.
 	idle chan struct{}
 }
@@ -277,9 +282,7 @@
 // Drain returns when the open ones have ended whole, or when ctx ends.
 func (r *Router) Drain(ctx context.Context) error {
 	r.log.Info().Msg("entry: leaving")
-	r.mu.Lock()
-	r.leaving = true
-	r.mu.Unlock()
+	r.leaving.Store(true)
 	select {
 	case <-time.After(r.config.Settings.DrainDelay):
 	case <-ctx.Done():
@@ -300,13 +303,7 @@
 
 // State is starting, live or leaving.
 func (r *Router) State() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state()
-}
-
-func (r *Router) state() string {
-	if r.leaving {
+	if r.leaving.Load() {
 		return string(wire.EntryExchangeStateLeaving)
 	}
 	return string(wire.EntryExchangeStateLive)
@@ -315,13 +312,14 @@
 // Status describes the entry for operators.
 func (r *Router) Status() wire.EntryStatus {
 	freshness := r.config.Follower.Freshness()
+	revision := r.config.Follower.Current().Number()
 	epoch, limits := r.config.Lender.Status()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.elapsed()
 	status := wire.EntryStatus{
 		VM: r.config.Settings.VM, Incarnation: r.config.Incarnation, FailureDomain: r.config.Settings.FailureDomain,
-		State: r.state(), Revision: r.config.Follower.Current().Number(), ProofAgeMs: freshness.AgeMs, StoreAway: freshness.StoreAway,
+		State: r.State(), Revision: revision, ProofAgeMs: freshness.AgeMs, StoreAway: freshness.StoreAway,
 		Open: len(r.calls), Epoch: epoch, Limits: limits, Endpoints: []wire.EndpointView{},
 	}
 	for _, m := range r.members.Members(now) {
