--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -381,7 +381,7 @@
 	// Load Load of one endpoint at one moment.
 	Load Load `json:"Load"`
 
-	// ResidencyDelta Changes of residency since report Sequence-1.
+	// ResidencyDelta Changes of residency since delta Sequence-1, or since the descriptor for the first.
 	ResidencyDelta *ResidencyDelta `json:"ResidencyDelta,omitempty"`
 	State          HeartbeatState  `json:"State"`
 	VM             string          `json:"Vm"`
@@ -469,7 +469,7 @@
 	Name string `json:"Name"`
 }
 
-// ResidencyDelta Changes of residency since report Sequence-1.
+// ResidencyDelta Changes of residency since delta Sequence-1, or since the descriptor for the first.
 type ResidencyDelta struct {
 	Added    []string `json:"Added"`
 	Removed  []string `json:"Removed"`
