--- /dev/null
+++ b/internal/experimenter/limits.go
@@ -0,0 +1,466 @@
+// Package experimenter runs policies side by side in virtual time and tabulates the results.
+// It owns no state; nothing in it talks to the platform.
+package experimenter
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"geraniumladder/pkg/limiter"
+)
+
+// LimitsResult has one row for each policy under each scenario.
+type LimitsResult struct {
+	Size string
+	Seed int64
+	Rows []LimitsRow
+}
+
+// LimitsRow is the outcome of one policy under one scenario.
+type LimitsRow struct {
+	Scenario, Policy string
+	// Requests counts those of the scenario's measured time.
+	Requests, Admitted int
+	// Excess is by how many tokens the worst window of any organisation exceeds burst + rate·t, t stretched by the
+	// clocks' error; 0 when none does.
+	Excess float64
+	// Wrongful counts refusals of requests that one global bucket, which sees the same requests and never loses a
+	// message, admits.
+	Wrongful int
+	// Stranded counts refusals where one global bucket charged with exactly what the policy has admitted covers the
+	// request both at its arrival and at its refusal: tokens that exist and were not found, or were lost. Unlike
+	// Wrongful it does not depend on which of the requests beyond the rate each side happened to admit.
+	Stranded int
+	// Waited counts admissions that did not come at once; MeanWait is over those, and MaxWait the longest.
+	Waited            int
+	MeanWait, MaxWait time.Duration
+	// Messages counts loans, reports and their answers, or requests to the owner and their answers.
+	Messages int
+}
+
+// WrongfulPerThousand returns the wrongful refusals in 1,000 requests.
+func (r LimitsRow) WrongfulPerThousand() float64 {
+	return 1000 * float64(r.Wrongful) / float64(max(1, r.Requests))
+}
+
+// StrandedPerThousand returns the stranded refusals in 1,000 requests.
+func (r LimitsRow) StrandedPerThousand() float64 {
+	return 1000 * float64(r.Stranded) / float64(max(1, r.Requests))
+}
+
+// String renders the result as a Markdown table.
+func (r LimitsResult) String() string {
+	var b strings.Builder
+	b.WriteString("| Scenario | Policy | Requests | Admitted | Excess tokens | Wrongful per 1,000 | Stranded per 1,000 | " +
+		"Waited per 1,000 | Mean wait | Longest wait | Messages per request |\n|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, row := range r.Rows {
+		fmt.Fprintf(&b, "| %s | %s | %d | %d | %.0f | %.2f | %.2f | %.1f | %.1f ms | %.0f ms | %.2f |\n",
+			row.Scenario, row.Policy, row.Requests, row.Admitted, row.Excess, row.WrongfulPerThousand(), row.StrandedPerThousand(),
+			1000*float64(row.Waited)/float64(max(1, row.Requests)), float64(row.MeanWait.Microseconds())/1000,
+			float64(row.MaxWait.Microseconds())/1000, float64(row.Messages)/float64(max(1, row.Requests)))
+	}
+	return b.String()
+}
+
+const (
+	limitEntries = 3
+	// admissionWait is the longest wait that counts as service.
+	admissionWait = 200 * time.Millisecond
+	// roundPause, tidyEvery and exchangeEvery are those of internal/lender.
+	roundPause    = 10 * time.Millisecond
+	tidyEvery     = 50 * time.Millisecond
+	exchangeEvery = time.Second
+	// ownerLease is the lease of the baseline with one owner for each organisation.
+	ownerLease = 6 * time.Second
+	// warmUp lets buckets, which start empty, fill before anything is measured.
+	warmUp = 30 * time.Second
+	// provenAfter is the time from a loss to the epoch without the lost entry: two lists of VMs without it, which
+	// are read every three seconds and lag by a few.
+	provenAfter = 10 * time.Second
+	lossAt      = warmUp + 60*time.Second
+)
+
+// limitsSize describes one of the two users.
+type limitsSize struct {
+	latency time.Duration
+	limits  []limiter.Config
+	// prompt is the mean number of prompt tokens, answer the largest answer that requests ask for.
+	prompt, answer float64
+	// perToken is the time of one generated token, after which reservations are settled.
+	perToken time.Duration
+}
+
+// The organisations' limits are our choice: two are large, the small ones have about one request a second.
+var limitsSizes = map[string]limitsSize{
+	// Long drafts from letters and photos.
+	"vunidawa": {latency: 1500 * time.Microsecond, prompt: 700, answer: 800, perToken: 20 * time.Millisecond, limits: []limiter.Config{
+		{Rate: 6000, Burst: 36000}, {Rate: 4000, Burst: 24000}, {Rate: 1500, Burst: 12000}, {Rate: 800, Burst: 9000}, {Rate: 800, Burst: 9000}}},
+	// A long shared prompt prefix and short answers.
+	"accra": {latency: time.Millisecond, prompt: 1500, answer: 400, perToken: 15 * time.Millisecond, limits: []limiter.Config{
+		{Rate: 12000, Burst: 60000}, {Rate: 9000, Burst: 45000}, {Rate: 3000, Burst: 18000}, {Rate: 1500, Burst: 12000}, {Rate: 1500, Burst: 12000}}},
+}
+
+// LimitsSizes returns the sizes that Limits knows.
+func LimitsSizes() []string { return []string{"accra", "vunidawa"} }
+
+// scenario is a traffic pattern with faults.
+type scenario struct {
+	name     string
+	duration time.Duration
+	// from and to bound the part that counts; zero means all after warmUp.
+	from, to time.Duration
+	// only selects the organisations that count; nil for all.
+	only func(organisation int) bool
+	// load is the offered net tokens as a part of the rate, by organisation.
+	load func(organisation int) float64
+	// entry chooses where a request arrives.
+	entry func(r *rand.Rand, organisation int, at time.Duration) int
+	// lost entry, -1 for none, at lossAt; it is proven dead after provenAfter unless the store is away.
+	lost               int
+	storeAway          time.Duration // from lossAt; 0 for never
+	replacedAfterwards bool          // the lost entry's place is taken by one that has no share
+}
+
+func anywhere(r *rand.Rand, _ int, _ time.Duration) int { return r.IntN(limitEntries) }
+
+// steadyLoad is the offered part of every organisation's rate. At 0.7 a bucket that holds six seconds of the rate
+// refuses next to nothing, so refusals are the policies' own.
+func steadyLoad(int) float64 { return 0.7 }
+
+// greedy is the organisation that sends five times its rate in one scenario.
+const greedy = 0
+
+func greedyLoad(organisation int) float64 {
+	if organisation == greedy {
+		return 5
+	}
+	return steadyLoad(organisation)
+}
+
+func limitsScenarios() []scenario {
+	return []scenario{
+		{name: "steady", duration: 20 * time.Minute, load: steadyLoad, entry: anywhere, lost: -1},
+		{name: "one at 5 times its rate: the others", duration: 10 * time.Minute, entry: anywhere, lost: -1, load: greedyLoad,
+			only: func(organisation int) bool { return organisation != greedy }},
+		{name: "one at 5 times its rate: that one", duration: 10 * time.Minute, entry: anywhere, lost: -1, load: greedyLoad,
+			only: func(organisation int) bool { return organisation == greedy }},
+		{name: "demand moves", duration: 20 * time.Minute, load: steadyLoad, lost: -1, entry: func(r *rand.Rand, organisation int, at time.Duration) int {
+			// All of an organisation's requests come to one entry for 20 s, then shift to the next within a second.
+			const stay = 20 * time.Second
+			turn := int(at/stay) + organisation
+			if shifting := at % stay; shifting < time.Second && r.Float64() > shifting.Seconds() {
+				turn--
+			}
+			return (turn%limitEntries + limitEntries) % limitEntries
+		}},
+		{name: "entry lost: first 10 s", duration: 2 * time.Minute, from: lossAt, to: lossAt + 10*time.Second, load: steadyLoad, entry: anywhere, lost: 2},
+		{name: "entry lost at half of the rate: first 10 s", duration: 2 * time.Minute, from: lossAt, to: lossAt + 10*time.Second,
+			load: func(int) float64 { return 0.5 }, entry: anywhere, lost: 2},
+		{name: "entry lost: 60 s", duration: 3 * time.Minute, from: lossAt, to: lossAt + time.Minute, load: steadyLoad, entry: anywhere, lost: 2},
+		{name: "store away for 1 h", duration: 65 * time.Minute, load: steadyLoad, entry: anywhere, lost: -1, storeAway: time.Hour},
+		{name: "store away, entry lost and replaced", duration: 65 * time.Minute, load: steadyLoad, entry: anywhere, lost: 2, storeAway: time.Hour, replacedAfterwards: true},
+	}
+}
+
+// limitPolicies are the policies that Limits compares.
+var limitPolicies = []struct {
+	name string
+	make func(*limitsRun) limitPolicy
+}{
+	{"shares and loans", func(r *limitsRun) limitPolicy { return newLoans(r, limiter.DefaultPolicy()) }},
+	{"shares and loans, only what is missing", func(r *limitsRun) limitPolicy {
+		p := limiter.DefaultPolicy()
+		p.NoDeposits, p.Balance = true, math.Inf(1)
+		return newLoans(r, p)
+	}},
+	{"fixed equal shares", func(r *limitsRun) limitPolicy { return newFixed(r) }},
+	{"one owner, leases of 6 s", func(r *limitsRun) limitPolicy { return newOwner(r) }},
+}
+
+// Limits measures the policies at a size named in LimitsSizes. The same seed gives the same figures.
+func Limits(seed int64, size string) LimitsResult { return LimitsPart(seed, size, 1) }
+
+// lossRepeats is how often a loss, which lasts seconds, is repeated with other traffic, so that its figures are of
+// some thousand requests.
+const lossRepeats = 20
+
+// LimitsPart is Limits with times and repeats cut to a part, for checks that need no figures.
+func LimitsPart(seed int64, size string, part float64) LimitsResult {
+	result := LimitsResult{Size: size, Seed: seed}
+	for _, s := range limitsScenarios() {
+		s.duration = max(lossAt+time.Minute, time.Duration(part*float64(s.duration)))
+		s.storeAway = time.Duration(part * float64(s.storeAway))
+		repeats := 1
+		if s.to > 0 {
+			repeats = int(math.Ceil(lossRepeats * part))
+		}
+		for _, p := range limitPolicies {
+			row := LimitsRow{Scenario: s.name, Policy: p.name}
+			var waits time.Duration
+			for i := range repeats {
+				run := newLimitsRun(uint64(seed)+uint64(i), limitsSizes[size], s)
+				run.policy = p.make(run)
+				run.play()
+				waits += run.addTo(&row)
+			}
+			if row.Waited > 0 {
+				row.MeanWait = waits / time.Duration(row.Waited)
+			}
+			result.Rows = append(result.Rows, row)
+		}
+	}
+	return result
+}
+
+// limitRequest is one request of the traffic.
+type limitRequest struct {
+	id           string
+	at           time.Duration
+	entry        int
+	organisation int
+	reserved     float64
+	used         float64
+	takes        time.Duration
+	// admittedAt is -1 until the policy admits it.
+	admittedAt time.Duration
+	finished   bool
+	// ideal says that the global bucket admits it; covered that the bucket charged with the policy's admissions
+	// would, at its arrival and, after a refusal, at the end of its wait.
+	ideal, covered bool
+}
+
+// limitPolicy decides over requests, by calling run.admitted or run.refused, at once or later.
+type limitPolicy interface {
+	arrive(*limitRequest)
+	settle(*limitRequest)
+	// expire is called when a request has waited for admissionWait.
+	expire(*limitRequest)
+	lose(entry int)
+	storeBack()
+}
+
+// event is something that happens at a time; sequence keeps the order of equal times.
+type event struct {
+	at       time.Duration
+	sequence int
+	do       func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// limitsRun is one policy under one scenario.
+type limitsRun struct {
+	size     limitsSize
+	scenario scenario
+	random   *rand.Rand
+	policy   limitPolicy
+	queue    events
+	sequence int
+	now      time.Duration
+	requests []*limitRequest
+	// ideal and charged are the oracles, by organisation.
+	ideal, charged []limiter.Bucket
+	down           [limitEntries]bool
+	messages       int
+}
+
+func newLimitsRun(seed uint64, size limitsSize, s scenario) *limitsRun {
+	r := &limitsRun{size: size, scenario: s, random: rand.New(rand.NewPCG(seed, 1))}
+	for organisation, c := range size.limits {
+		r.ideal = append(r.ideal, limiter.New(c).WithShare(1, 1, 0))
+		r.charged = append(r.charged, limiter.New(c).WithShare(1, 1, 0))
+		r.arrivals(organisation, c)
+	}
+	slices.SortStableFunc(r.requests, func(a, b *limitRequest) int { return cmp.Compare(a.at, b.at) })
+	return r
+}
+
+// arrivals makes the Poisson traffic of one organisation.
+func (r *limitsRun) arrivals(organisation int, c limiter.Config) {
+	mean := r.size.prompt + r.size.answer*0.5
+	interval := mean / (c.Rate * r.scenario.load(organisation))
+	for at := 0.0; ; {
+		at += r.random.ExpFloat64() * interval
+		if at >= r.scenario.duration.Seconds() {
+			return
+		}
+		// Prompts from a quarter of the mean to seven quarters; answers from none to the largest.
+		prompt := math.Round(r.size.prompt * (0.25 + 1.5*r.random.Float64()))
+		answer := math.Round(r.size.answer * r.random.Float64())
+		q := &limitRequest{
+			id: fmt.Sprintf("%d-%d", organisation, len(r.requests)), at: time.Duration(at * float64(time.Second)), organisation: organisation,
+			reserved: prompt + r.size.answer, used: prompt + answer, takes: time.Duration(answer) * r.size.perToken, admittedAt: -1,
+		}
+		q.entry = r.scenario.entry(r.random, organisation, q.at)
+		r.requests = append(r.requests, q)
+	}
+}
+
+// after runs do when d has passed.
+func (r *limitsRun) after(d time.Duration, do func()) {
+	r.sequence++
+	heap.Push(&r.queue, event{r.now + d, r.sequence, do})
+}
+
+// message runs do at the receiving entry after the network's latency, unless it is down by then.
+func (r *limitsRun) message(to int, do func()) {
+	r.messages++
+	r.after(r.size.latency, func() {
+		if !r.down[to] {
+			do()
+		}
+	})
+}
+
+// clock is the reading of an entry's clock; their rates differ by what the bounds allow.
+func (r *limitsRun) clock(entry int) time.Duration {
+	return time.Duration(float64(r.now) * (1 + limiter.ClockDrift*float64(entry-1)))
+}
+
+func (r *limitsRun) play() {
+	for _, q := range r.requests {
+		r.sequence++
+		heap.Push(&r.queue, event{q.at, r.sequence, func() { r.arrive(q) }})
+	}
+	if r.scenario.lost >= 0 {
+		heap.Push(&r.queue, event{lossAt, 0, func() {
+			r.down[r.scenario.lost] = true
+			r.policy.lose(r.scenario.lost)
+			if r.scenario.replacedAfterwards {
+				r.after(time.Minute, func() { r.down[r.scenario.lost] = false })
+			}
+		}})
+	}
+	if r.scenario.storeAway > 0 {
+		heap.Push(&r.queue, event{lossAt + r.scenario.storeAway, 0, func() { r.policy.storeBack() }})
+	}
+	for len(r.queue) > 0 && r.queue[0].at <= r.scenario.duration+time.Minute {
+		e := heap.Pop(&r.queue).(event)
+		r.now = e.at
+		e.do()
+	}
+}
+
+func (r *limitsRun) arrive(q *limitRequest) {
+	for r.down[q.entry] {
+		q.entry = (q.entry + 1 + r.random.IntN(limitEntries-1)) % limitEntries
+	}
+	var d limiter.Decision
+	if r.ideal[q.organisation], d = r.ideal[q.organisation].Reserve(q.id, q.reserved, r.now); d.Admitted {
+		q.ideal = true
+		r.after(q.takes, func() { r.ideal[q.organisation] = r.ideal[q.organisation].Settle(q.id, q.used, r.now) })
+	}
+	r.charged[q.organisation] = r.charged[q.organisation].Advance(r.now)
+	q.covered = r.charged[q.organisation].Level() >= q.reserved
+	r.policy.arrive(q)
+	if !q.finished {
+		r.after(admissionWait, func() {
+			if !q.finished {
+				r.policy.expire(q)
+			}
+		})
+	}
+}
+
+func (r *limitsRun) admitted(q *limitRequest) {
+	q.finished, q.admittedAt = true, r.now
+	// The clocks run up to the permitted error fast, so the charged bucket may lack a little.
+	b := r.charged[q.organisation].Advance(r.now)
+	r.charged[q.organisation], _ = b.Reserve(q.id, min(q.reserved, b.Level()), r.now)
+	r.after(q.takes, func() {
+		r.charged[q.organisation] = r.charged[q.organisation].Settle(q.id, q.used, r.now)
+		if !r.down[q.entry] {
+			r.policy.settle(q)
+		}
+	})
+}
+
+func (r *limitsRun) refused(q *limitRequest) {
+	q.finished = true
+	r.charged[q.organisation] = r.charged[q.organisation].Advance(r.now)
+	q.covered = q.covered && r.charged[q.organisation].Level() >= q.reserved
+}
+
+// addTo adds the run's figures to row and returns the sum of the waits.
+func (r *limitsRun) addTo(row *LimitsRow) (waits time.Duration) {
+	from, to := r.scenario.from, r.scenario.to
+	if to == 0 {
+		from, to = warmUp, r.scenario.duration
+	}
+	counted := row.Requests
+	admissions := make([][]admission, len(r.size.limits))
+	for _, q := range r.requests {
+		measured := q.at >= from && q.at < to && (r.scenario.only == nil || r.scenario.only(q.organisation))
+		if measured {
+			row.Requests++
+		}
+		if q.admittedAt < 0 {
+			if measured && q.ideal {
+				row.Wrongful++
+			}
+			if measured && q.covered {
+				row.Stranded++
+			}
+			continue
+		}
+		admissions[q.organisation] = append(admissions[q.organisation], admission{q.admittedAt, q.used})
+		if measured {
+			row.Admitted++
+			if wait := q.admittedAt - q.at; wait > 0 {
+				row.Waited++
+				waits += wait
+				row.MaxWait = max(row.MaxWait, wait)
+			}
+		}
+	}
+	// Messages are not told apart by time or organisation.
+	row.Messages += r.messages * (row.Requests - counted) / max(1, len(r.requests))
+	for organisation, all := range admissions {
+		row.Excess = max(row.Excess, excess(r.size.limits[organisation], all))
+	}
+	return waits
+}
+
+// admission is what an observer of all entries sees, net of refunds.
+type admission struct {
+	at     time.Duration
+	tokens float64
+}
+
+// excess returns by how much the worst window of all exceeds the limit, t being stretched by the clocks' error.
+func excess(c limiter.Config, all []admission) float64 {
+	slices.SortStableFunc(all, func(a, b admission) int { return cmp.Compare(a.at, b.at) })
+	var worst, running float64
+	var last time.Duration
+	for _, a := range all {
+		running = max(0, running-c.Rate*(1+limiter.ClockDrift)*(a.at-last).Seconds()) + a.tokens
+		last = a.at
+		// A millionth of a token is rounding.
+		if over := running - c.Burst; over > 1e-6 {
+			worst = max(worst, over)
+		}
+	}
+	return worst
+}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -604,7 +604,9 @@
 			l.config.Log.Debug().Err(err).Str("peer", ask.Lender).Msg("entry: A peer did not answer a request for a loan.")
 			return
 		}
-		a.Account = a.WithAnswer(id, reply.Tokens, reply.Level, now)
+		var reports []limiter.Report
+		a.Account, reports = a.WithAnswer(id, reply.Tokens, reply.Level, now)
+		l.send(organisation, reports)
 		l.serve(a, organisation, l.now())
 		wake(a)
 		if reply.Epoch > l.epoch.Number() {
--- a/pkg/limiter/account.go
+++ b/pkg/limiter/account.go
@@ -13,9 +13,10 @@
 	GrantLife time.Duration
 	// Memory is the time over which an entry averages the demand that it sees.
 	Memory time.Duration
-	// Ahead is the time of demand above the entry's own rate that it borrows before requests need it, so that most
-	// of them wait for no message.
-	Ahead time.Duration
+	// Balance is the part of its own share by which an entry's level may fall short of the average of all levels
+	// before it borrows without a request that waits. An entry whose bucket is full refills no more, while one
+	// bucket for the fleet would: balanced levels waste no refill, and most requests wait for no message.
+	Balance float64
 	// Keep is the time of its own demand that a lender does not lend.
 	Keep time.Duration
 	// Probe is the least time between two requests to one peer that is not believed to have what is needed.
@@ -24,6 +25,8 @@
 	Fanout int
 	// DiscardRefunds gives up what the admissions spent from loans turn out not to need.
 	DiscardRefunds bool
+	// NoDeposits leaves loans in the purse, where they expire, in place of moving them to the level.
+	NoDeposits bool
 }
 
 // DefaultPolicy returns the policy measured in docs/measurements-limits.md.
@@ -31,7 +34,7 @@
 	return Policy{
 		GrantLife: time.Second,
 		Memory:    time.Second,
-		Ahead:     50 * time.Millisecond,
+		Balance:   0.1,
 		Keep:      100 * time.Millisecond,
 		Probe:     50 * time.Millisecond,
 		Fanout:    8,
@@ -62,10 +65,10 @@
 // loan is a grant with admissions that have spent from it and are not settled.
 type loan struct {
 	lender string
-	spent  float64
 	unused float64
 	open   int
-	// reported says that the lender has been told of spent.
+	// spent is what the lender has been told, once reported.
+	spent    float64
 	reported bool
 }
 
@@ -162,7 +165,6 @@
 	}
 	for _, part := range parts {
 		l, _ := a.loans.get(part.Grant)
-		l.spent += part.Tokens
 		l.open++
 		l.lender = a.purse.lender(part.Grant)
 		a.loans = a.loans.set(part.Grant, l, 0)
@@ -207,40 +209,32 @@
 	return max(p.level, min(a.bucket.cap, p.level+a.bucket.rate*(now-p.at).Seconds()))
 }
 
-// Plan returns the loans to ask for now, given the tokens of the requests that wait, in their order.
-// A peer whose answer is outstanding is not asked.
+// Plan returns the loans to ask for now, given the tokens of the requests that wait, in their order. It aims at a
+// level that is the average of all after these requests. A peer whose answer is outstanding is not asked.
 func (a Account) Plan(needs []float64, now time.Duration) []Ask {
 	a.bucket = a.bucket.Advance(now)
 	have := a.bucket.Level() + a.purse.Available(now)
-	excess := min(a.Demand(now), a.bucket.config.Rate) - a.bucket.rate
-	ahead := max(0, excess*a.policy.Ahead.Seconds())
 	peers := a.askable(now)
 	var most float64
 	for _, p := range peers {
 		most += a.estimate(p, now)
 	}
-	missing, sure := missingFor(needs, have, most)
-	switch {
-	case len(needs) > 0 && !sure:
-		// No peer is believed to have enough: each is asked now and then, as refunds may have raised its level.
-		peers = slices.DeleteFunc(peers, func(p peerLevel) bool {
-			return now-max(p.asked, p.at) < a.policy.Probe
-		})
-		ahead = 0
-	case len(needs) == 0:
-		// Borrowing ahead leaves peers half of what they have, so that entries do not lend in a circle.
-		missing = min(ahead-have, most/2)
-		ahead = 0
-		if missing < a.policy.least(a.bucket) || missing <= 0 {
-			return nil
-		}
-	}
-	want := missing + ahead
+	needed, sure := covered(needs, have+most)
+	average := max(0, have+most-needed) / float64(len(peers)+1)
 	var asks []Ask
 	for _, p := range peers {
-		share := want
-		if sure && most > 0 {
-			share = max(missing/float64(len(peers)), want*a.estimate(p, now)/most)
+		var share float64
+		recent := now-p.asked < a.policy.Probe
+		switch {
+		case len(needs) > 0 && !sure:
+			// No peer is believed to have enough: each is asked now and then, as refunds may have raised its level.
+			if now-max(p.asked, p.at) >= a.policy.Probe {
+				share = needed - have
+			}
+		case needed > have:
+			share = max((needed-have)/float64(len(peers)), a.estimate(p, now)-average)
+		case !recent && average-(have-needed) > a.policy.Balance*a.bucket.cap:
+			share = a.estimate(p, now) - average
 		}
 		if share > 0 {
 			asks = append(asks, Ask{p.name, share})
@@ -249,25 +243,21 @@
 	return asks
 }
 
-// least is the smallest loan worth a message when none is needed at once.
-func (p Policy) least(b Bucket) float64 { return b.rate * p.Ahead.Seconds() / 4 }
-
-// missingFor returns what the waiting requests lack that have and most can cover together, in their order, and
-// whether that is any of them; if not, what the smallest lacks.
-func missingFor(needs []float64, have, most float64) (missing float64, sure bool) {
-	var total float64
+// covered returns the sum of the requests that total covers, in their order, and whether that is any of them; if
+// not, the smallest.
+func covered(needs []float64, total float64) (needed float64, sure bool) {
 	smallest := math.Inf(1)
 	for _, n := range needs {
 		smallest = min(smallest, n)
-		if total+n <= have+most {
-			total += n
+		if needed+n <= total {
+			needed += n
 			sure = true
 		}
 	}
-	if !sure {
-		total = smallest
+	if len(needs) > 0 && !sure {
+		needed = smallest
 	}
-	return max(0, total-have), sure
+	return needed, sure
 }
 
 func (a Account) askable(now time.Duration) []peerLevel {
@@ -293,14 +283,26 @@
 	return a
 }
 
-// WithAnswer records what a lender granted and has left.
-func (a Account) WithAnswer(id string, tokens, level float64, now time.Duration) Account {
+// WithAnswer records what a lender granted and has left. The tokens move to the level as far as it has room: there
+// they do not expire, and what admissions from them do not need is refunded without a message. A grant that has
+// moved in full is reported at once.
+func (a Account) WithAnswer(id string, tokens, level float64, now time.Duration) (Account, []Report) {
 	lender := a.purse.lender(id)
-	a.purse, _ = a.purse.WithGranted(id, tokens, now)
+	purse, granted := a.purse.WithGranted(id, tokens, now)
+	a.purse = purse
 	if lender != "" {
 		a = a.WithPeer(lender, level, now)
 	}
-	return a
+	if !granted || a.policy.NoDeposits {
+		return a, nil
+	}
+	bucket, moved := a.bucket.Deposit(tokens, now)
+	if a.purse, moved = a.purse.Take(id, moved, now); moved < tokens {
+		a.bucket = bucket
+		return a, nil
+	}
+	a.bucket = bucket
+	return a.report(id)
 }
 
 // WithFailed closes a grant whose answer was lost, and reports that nothing of it is spent.
@@ -346,15 +348,9 @@
 	return a
 }
 
-// Tidy closes the grants that are spent or have ended, and, when no request waits, those beyond what the entry is
-// about to need. The reports go to the lenders.
+// Tidy closes the grants that are spent or have ended, and all when no request waits. The reports go to the lenders.
 func (a Account) Tidy(waiting bool, now time.Duration) (Account, []Report) {
 	var reports []Report
-	surplus := math.Inf(-1)
-	if !waiting {
-		excess := min(a.Demand(now), a.bucket.config.Rate) - a.bucket.rate
-		surplus = a.purse.Available(now) - max(0, excess*a.policy.Ahead.Seconds())
-	}
 	for _, g := range a.purse.Grants() {
 		var closed []Report
 		switch {
@@ -366,8 +362,7 @@
 		case !g.Received:
 		case g.Tokens == 0:
 			a.purse, _, _ = a.purse.Close(g.ID)
-		case g.Left() <= 0 || g.Left() <= surplus:
-			surplus -= g.Left()
+		case g.Left() <= 0 || !waiting:
 			a, closed = a.report(g.ID)
 		}
 		reports = append(reports, closed...)
@@ -395,13 +390,13 @@
 	a.purse = purse
 	spent := g.Spent
 	if l, ok := a.loans.get(id); ok {
-		l.reported = true
+		l.reported, l.spent = true, g.Spent
 		if l.open > 0 {
 			a.loans = a.loans.set(id, l, 0)
 		} else {
 			a.loans = a.loans.remove(id)
 			if !a.policy.DiscardRefunds {
-				spent = l.spent - l.unused
+				spent -= l.unused
 			}
 		}
 	}
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -358,6 +358,15 @@
 	return b
 }
 
+// Deposit adds tokens spent from a borrowed grant to the level, as far as the cap has room, and returns the amount.
+// The sum of all levels and loans stays the same: what the lender holds no longer counts from then on.
+func (b Bucket) Deposit(tokens float64, now time.Duration) (Bucket, float64) {
+	b = b.Advance(now)
+	amount := max(0, min(tokens, b.cap-b.lent-b.level))
+	b.level += amount
+	return b.trimmed(), amount
+}
+
 // Grants returns the open grants, earliest end first.
 func (b Bucket) Grants() []Grant { return slices.Clone(b.grants) }
 
--- a/pkg/limiter/purse.go
+++ b/pkg/limiter/purse.go
@@ -85,6 +85,19 @@
 	return Purse{grants}, parts, true
 }
 
+// Take spends up to tokens of one grant and returns the amount.
+func (p Purse) Take(id string, tokens float64, now time.Duration) (Purse, float64) {
+	for i, g := range p.grants {
+		if g.ID == id && now < g.End {
+			amount := max(0, min(tokens, g.Left()))
+			grants := slices.Clone(p.grants)
+			grants[i].Spent += amount
+			return Purse{grants}, amount
+		}
+	}
+	return p, 0
+}
+
 // Close removes a grant, for a report to its lender. Nothing can be spent from it afterwards.
 func (p Purse) Close(id string) (Purse, Borrowed, bool) {
 	i := slices.IndexFunc(p.grants, func(g Borrowed) bool { return g.ID == id })
