--- a/pkg/limiter/fleet_test.go
+++ b/pkg/limiter/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -16,16 +17,14 @@
 
 // entry is one incarnation of a simulated entry with a clock of its own.
 type entry struct {
-	name     string
-	offset   time.Duration
-	clock    float64
-	alive    bool
-	leaving  bool
-	bucket   limiter.Bucket
-	epoch    limiter.Epoch
-	purse    limiter.Purse
-	opens    map[string]*admission
-	borrowed map[string]float64
+	name    string
+	offset  time.Duration
+	clock   float64
+	alive   bool
+	leaving bool
+	account limiter.Account
+	epoch   limiter.Epoch
+	opens   map[string]*admission
 	// pausedAt is the clock reading taken before a pause; the next operation uses it.
 	pausedAt time.Duration
 	paused   bool
@@ -75,11 +74,11 @@
 		offset: millis(f.t, 100_000, "offset"),
 		clock:  rapid.Float64Range(1-limiter.ClockDrift, 1+limiter.ClockDrift).Draw(f.t, "clock"),
 		alive:  true,
-		bucket: limiter.New(f.config),
-		opens:  map[string]*admission{}, borrowed: map[string]float64{},
+		opens:  map[string]*admission{},
 	}
 	e.epoch = limiter.NewEpoch(limiter.EpochConfig{Self: e.name, GrantLife: grantLife})
-	e.bucket = e.bucket.Advance(f.local(e))
+	policy := limiter.Policy{GrantLife: grantLife, Memory: time.Second, NoDeposits: rapid.Bool().Draw(f.t, "no deposits")}
+	e.account = limiter.NewAccount(f.config, policy).WithShare(0, 1, f.local(e))
 	f.entries = append(f.entries, e)
 }
 
@@ -87,8 +86,8 @@
 func (f *fleet) sync(e *entry, now time.Duration) {
 	e.epoch = e.epoch.Advance(now)
 	num, den := e.epoch.Share()
-	e.bucket = e.bucket.WithShare(num, den, now)
-	if e.bucket.Over() == 0 {
+	e.account = e.account.WithShare(num, den, now)
+	if e.account.Bucket().Over() == 0 {
 		e.epoch = e.epoch.WithTaken()
 	}
 }
@@ -123,43 +122,32 @@
 
 func (f *fleet) admit(e *entry) {
 	now, at := f.read(e)
-	e.bucket = e.bucket.Advance(now)
 	n := tokens(f.t, f.config.Burst, "tokens")
 	if rapid.Bool().Draw(f.t, "all there is") {
-		n = e.bucket.Level() + e.purse.Available(now)
-	}
-	level := min(n, e.bucket.Level())
-	purse, _, ok := e.purse.Spend(n-level, now)
-	if !ok {
-		return
+		n = e.account.Bucket().Advance(now).Level() + e.account.Purse().Available(now)
 	}
 	id := f.id()
 	var d limiter.Decision
-	if e.bucket, d = e.bucket.Reserve(id, level, now); !d.Admitted {
-		return
+	if e.account, d = e.account.Admit(id, n, now); d.Admitted {
+		a := &admission{at, n}
+		f.seen = append(f.seen, a)
+		e.opens[id] = a
 	}
-	e.purse = purse
-	a := &admission{at, n}
-	f.seen = append(f.seen, a)
-	e.opens[id], e.borrowed[id] = a, n-level
 }
 
 func (f *fleet) settle(e *entry) {
-	ids := make([]string, 0, len(e.opens))
-	for id := range e.opens {
-		ids = append(ids, id)
-	}
+	ids := slices.Sorted(maps.Keys(e.opens))
 	if len(ids) == 0 {
 		return
 	}
-	slices.Sort(ids)
-	id := rapid.SampledFrom(ids).Draw(f.t, "reservation")
+	id := ids[rapid.IntRange(0, len(ids)-1).Draw(f.t, "reservation")]
 	now, _ := f.read(e)
 	a := e.opens[id]
 	used := tokens(f.t, a.tokens, "used")
-	e.bucket = e.bucket.Settle(id, used-e.borrowed[id], now)
-	// The borrowed part brings no refund.
-	a.tokens = max(used, e.borrowed[id])
+	var reports []limiter.Report
+	e.account, reports = e.account.Settle(id, a.tokens, used, now)
+	f.report(reports)
+	a.tokens = used
 	delete(e.opens, id)
 }
 
@@ -170,27 +158,36 @@
 	}
 	now, _ := f.read(e)
 	id, n := "g"+f.id(), f.config.Burst*rapid.Float64Range(0.1, 1).Draw(f.t, "asked")
-	e.purse = e.purse.WithAsked(id, lender.name, now, grantLife)
+	e.account = e.account.WithAsked(id, lender.name, now)
 	f.messages = append(f.messages, message{lender, func(now time.Duration) {
-		var lent float64
-		lender.bucket, lent = lender.bucket.Lend(id, n, now, now+limiter.Stretch(grantLife))
+		var lent, left float64
+		lender.account, lent, left = lender.account.Lend(id, n, now, grantLife)
 		f.messages = append(f.messages, message{e, func(now time.Duration) {
-			e.purse, _ = e.purse.WithGranted(id, lent, now)
+			var reports []limiter.Report
+			e.account, reports = e.account.WithAnswer(id, lent, left, now)
+			f.report(reports)
 		}})
 	}})
 }
 
-func (f *fleet) repay(e *entry) {
-	grants := e.purse.Grants()
-	if len(grants) == 0 {
-		return
+func (f *fleet) report(reports []limiter.Report) {
+	for _, r := range reports {
+		lender := f.byName(r.Lender)
+		f.messages = append(f.messages, message{lender, func(now time.Duration) {
+			lender.account = lender.account.Repaid(r.Grant, r.Spent, now)
+		}})
 	}
-	g := grants[rapid.IntRange(0, len(grants)-1).Draw(f.t, "grant")]
-	e.purse, g, _ = e.purse.Close(g.ID)
-	lender := f.byName(g.Lender)
-	f.messages = append(f.messages, message{lender, func(now time.Duration) {
-		lender.bucket = lender.bucket.Repay(g.ID, g.Spent, now)
-	}})
+}
+
+func (f *fleet) tidy(e *entry) {
+	now, _ := f.read(e)
+	var reports []limiter.Report
+	if rapid.Bool().Draw(f.t, "gives up a loan") && len(e.account.Purse().Grants()) > 0 {
+		e.account, reports = e.account.WithFailed(e.account.Purse().Grants()[0].ID, now)
+	} else {
+		e.account, reports = e.account.Tidy(rapid.Bool().Draw(f.t, "waiting"), now)
+	}
+	f.report(reports)
 }
 
 func (f *fleet) exchange(e *entry) {
@@ -210,7 +207,7 @@
 // finds its faults far sooner than one about all.
 var schedules = map[string][]int{
 	"all":    {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15},
-	"loans":  {0, 1, 2, 3, 4, 4, 4, 8, 8, 8, 10, 13},
+	"loans":  {0, 1, 2, 3, 4, 4, 4, 7, 7, 8, 8, 8, 10, 13},
 	"epochs": {0, 1, 2, 3, 4, 4, 8, 8, 11, 11, 12, 12, 14, 15},
 }
 
@@ -245,7 +242,7 @@
 	case 8, 9:
 		f.borrow(e)
 	case 10:
-		f.repay(e)
+		f.tidy(e)
 	case 11:
 		f.exchange(e)
 	case 12: // Reads the row, and learns of the deaths that it can prove.
@@ -263,8 +260,7 @@
 		}
 	case 14: // Dies, or leaves as planned once its grants are settled; a new incarnation may start.
 		now, _ := f.read(e)
-		e.bucket = e.bucket.Advance(now)
-		if rapid.Bool().Draw(f.t, "dies") || e.bucket.Lent() == 0 {
+		if rapid.Bool().Draw(f.t, "dies") || e.account.Bucket().Advance(now).Lent() == 0 {
 			e.alive = false
 		}
 		if len(f.entries) < 6 {
