--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -450,16 +450,49 @@
 // Guards against a planned stop that loses its share or its loans, or that admits afterwards.
 func TestLeave(t *testing.T) {
 	bubble(t, func(t *testing.T, w *world, a, b, c *node) {
+		w.set(func() { w.down = true })
+		short, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		assert.ErrorContains(t, a.Leave(short), "still a member")
+		assert.Equal(t, kind(t, w.admit(a, 1)), lender.OverRate)
+		w.set(func() { w.down = false })
+		assert.NilError(t, a.Leave(context.Background()))
+		time.Sleep(10 * time.Second)
+
 		assert.NilError(t, w.admit(c, 700))
 		assert.NilError(t, c.Leave(context.Background()))
 		assert.Equal(t, kind(t, w.admit(c, 1)), lender.OverRate)
-		w.drain(a, 50)
+		w.drain(b, 50)
 		time.Sleep(5 * time.Second)
-		assert.Equal(t, share(t, a), 450.0)
+		assert.Equal(t, share(t, b), 900.0)
 		w.drain(b, 50)
 	})
 }
 
+// Guards against the acknowledgement of an epoch while a grant lent under the larger share is open: a new member
+// would fill its share while the grant may still be spent.
+func TestAcknowledgesWhenGrantsFit(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world, a, b, c *node) {
+		var lent wire.LendReply
+		assert.NilError(t, b.client.Call(t.Context(), "a:1", "/peer/lend", wire.LendRequest{
+			GrantID: "g", Borrower: "x/1", Organisation: organisation, Tokens: 300, LifeMs: 1000}, &lent))
+		assert.Equal(t, lent.Tokens, 300.0)
+		epoch, _ := a.Status()
+		row := wire.EpochRow{Epoch: epoch + 1}
+		for _, vm := range []string{"a", "b", "c", "d"} {
+			row.Members = append(row.Members, wire.EntryMember{VM: vm, Incarnation: "1", Address: vm + ":1"})
+		}
+		ask := wire.EntryExchange{From: row.Members[1], EpochRow: &row, Freshness: wire.Freshness{AgeMs: -1}}
+		var answer wire.EntryExchange
+		assert.NilError(t, b.client.Call(t.Context(), "a:1", "/peer/exchange", ask, &answer))
+		assert.Equal(t, answer.Epoch, epoch)
+		assert.Equal(t, share(t, a), 225.0)
+		time.Sleep(1100 * time.Millisecond)
+		assert.NilError(t, b.client.Call(t.Context(), "a:1", "/peer/exchange", ask, &answer))
+		assert.Equal(t, answer.Epoch, epoch+1)
+	})
+}
+
 // Guards against more adapter loads at one time, or a second, than the fleet's budget, and against slots that are
 // not returned.
 func TestPermits(t *testing.T) {
--- a/pkg/limiter/fleet_test.go
+++ b/pkg/limiter/fleet_test.go
@@ -309,6 +309,16 @@
 	})
 }
 
+// Guards against a lender on the fastest clock that stops holding a grant before a borrower on the slowest stops
+// spending it.
+func TestStretch(t *testing.T) {
+	for _, life := range []time.Duration{1, time.Millisecond, time.Second, time.Hour} {
+		borrower := float64(life) / (1 - limiter.ClockDrift)
+		lender := float64(limiter.Stretch(life)) / (1 + limiter.ClockDrift)
+		assert.Assert(t, borrower <= lender, "%s", life)
+	}
+}
+
 // Guards against growth of a share while a grant of a dropped member may still be spent, and against the
 // acknowledgement of an epoch while grants lent under the larger share are open.
 func TestGrowthAfterLoss(t *testing.T) {
