Bound the loads that an entry believes in at one endpoint

A test with 140,000 adapters that never become resident ran into its ten-minute limit: the list of loads asked for grew with each request, and each request copied it.

--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -155,6 +155,22 @@
 	assert.Assert(t, v.Demand("a@1", time.Hour) < 1)
 }
 
+// TestDemandIsBounded guards against demand that is kept for ever more adapters, and against dropping that of adapters in use.
+func TestDemandIsBounded(t *testing.T) {
+	v := fleet(1)
+	for i := range 140000 {
+		now := time.Duration(i) * time.Millisecond
+		v = v.WithSent("vm000", ask(fmt.Sprint("a", i, "@1")), now)
+		if i%1000 == 0 {
+			v = v.WithSent("vm000", ask("used@1"), now)
+		}
+	}
+	now := 140 * time.Second
+	assert.Assert(t, v.Demand("used@1", now) > 50)
+	assert.Assert(t, v.Demand("a139999@1", now) > 0)
+	assert.Equal(t, v.Demand("a0@1", now), 0.0)
+}
+
 // TestNextLoad guards against a load that waits forever behind popular ones, and against first come first served, which
 // makes the requests of a popular adapter wait behind single requests.
 func TestNextLoad(t *testing.T) {
--- a/pkg/placer/view.go
+++ b/pkg/placer/view.go
@@ -104,6 +104,10 @@
 // prefixes is the number of prefixes that are remembered for each endpoint.
 const prefixes = 16
 
+// askedLimit bounds the adapters that an entry believes to be loading at one endpoint, and with them the cost of a request.
+// Beyond it the oldest is forgotten; a request for it asks for another permit, which is returned unused.
+const askedLimit = 128
+
 // endpoint is immutable: it is replaced, never changed.
 type endpoint struct {
 	Descriptor
@@ -245,7 +249,8 @@
 		e.sentTokens += r.tokens()
 		e.openTokens += r.tokens()
 		if r.Adapter != "" && !slices.Contains(e.resident, key) && !slices.Contains(e.loading, key) && !e.isAsked(key) {
-			e.asked = append(slices.Clone(e.asked), asked{key: key, since: now})
+			old := e.asked[max(0, len(e.asked)-askedLimit+1):]
+			e.asked = append(slices.Clone(old), asked{key: key, since: now})
 		}
 		if r.PrefixHash != "" && !e.hasPrefix(r) {
 			e.prefix[e.prefixNext%prefixes] = prefixKey(r)
