--- /dev/null
+++ b/internal/experimenter/fairness.go
@@ -0,0 +1,417 @@
+// Package experimenter compares policies side by side in virtual time and writes the tables. It owns no state: each
+// experiment runs on values of the decision packages and on a model of the engines, without I/O, and does not depend on
+// the platform's store.
+package experimenter
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/olekukonko/tablewriter"
+	"github.com/olekukonko/tablewriter/renderer"
+	"github.com/olekukonko/tablewriter/tw"
+
+	"geraniumladder/pkg/scheduler"
+)
+
+// The engine of the model makes one step for all of its batch: each running request whose prompt has been processed
+// gets a token, and up to fairnessPrefill prompt tokens are processed, in the order in which requests were given to it.
+const (
+	fairnessStep    = 20 * time.Millisecond
+	fairnessPrefill = 1024
+	fairnessBatch   = 16
+	// fairnessAnswerLimit is the limit that callers set; most responses are much shorter.
+	fairnessAnswerLimit = 400
+	// fairnessReport is the age up to which an entry's view of an endpoint's queue is out of date.
+	fairnessReport = 200 * time.Millisecond
+	fairnessExcess = 5
+	// fairnessLimitRatio is an organisation's limit over what it usually sends.
+	fairnessLimitRatio = 1.25
+	fairnessBurst      = 10 * time.Second
+	// FairnessDuration is the virtual time of a measurement.
+	FairnessDuration = 15 * time.Minute
+	// FairnessTarget is the largest allowed ratio of an organisation's figure to its figure alone.
+	FairnessTarget = 1.25
+)
+
+// fairnessOrganisations are two large and three small organisations; the first one sends several times its rate.
+var fairnessOrganisations = []struct {
+	name   string
+	weight float64
+}{{"neighbour", 3}, {"large", 3}, {"small-1", 1}, {"small-2", 1}, {"small-3", 1}}
+
+// FairnessConfig configures a measurement.
+type FairnessConfig struct {
+	Seed      uint64
+	Endpoints int
+	// Use is the part of the endpoints' capacity that all organisations use together at their rates.
+	Use      float64
+	Duration time.Duration
+	Variants []FairnessVariant
+}
+
+// fairnessEntries is the number of entries. Each knows exactly what it has sent itself.
+const fairnessEntries = 3
+
+// FairnessVariant is one way to order the queues and to choose between endpoints.
+type FairnessVariant struct {
+	Name   string
+	Policy scheduler.Policy
+	// Credit and Reserved are those of scheduler.Config.
+	Credit   float64
+	Reserved int
+	// FairPlacement makes entries compare endpoints by scheduler.Load.FairTokens and what they have sent for the same
+	// organisation, in place of all tokens that wait.
+	FairPlacement bool
+	// Limited makes entries refuse what the neighbour sends over its rate limit, as the product does: 1.25 times its
+	// usual rate, with a burst of ten seconds of it.
+	Limited bool
+}
+
+// FairnessVariants are the baselines, the steps to the product's order, and the product with its rate limits.
+func FairnessVariants() []FairnessVariant {
+	const credit, reserved = 40_000, 6
+	return []FairnessVariant{
+		{"first in first out", scheduler.FirstInFirstOut{}, 0, 0, false, false},
+		{"round robin", scheduler.RoundRobin{}, 0, 0, false, false},
+		{"token counter", scheduler.TokenCounter{}, 0, 0, false, false},
+		{"with credit", scheduler.TokenCounter{}, credit, 0, false, false},
+		{"with credit and reserve", scheduler.TokenCounter{}, credit, reserved, false, false},
+		{"with credit, reserve and fair placement", scheduler.TokenCounter{}, credit, reserved, true, false},
+		{"the same behind rate limits", scheduler.TokenCounter{}, credit, reserved, true, true},
+	}
+}
+
+// FairnessRow is the result of one variant.
+type FairnessRow struct {
+	Use       float64
+	Endpoints int
+	Variant   string
+	// Organisation is the worst-served one beside the neighbour, by p99.
+	Organisation string
+	// Alone, AtRate and Excess are its p99 to the first token: without the others, while the neighbour sends its
+	// rate, and while it sends fairnessExcess times its rate.
+	Alone, AtRate, Excess time.Duration
+	// Share and ShareAlone are the parts of the tokens it was entitled to that it received by the end of the trace,
+	// the worst over the organisations.
+	Share, ShareAlone float64
+	// Batch is the mean part of the batch that was used during the excess.
+	Batch float64
+}
+
+// Ratio returns the p99 during the excess over the p99 alone.
+func (r FairnessRow) Ratio() float64 { return float64(r.Excess) / float64(r.Alone) }
+
+// ShareRatio returns the share alone over the share during the excess.
+func (r FairnessRow) ShareRatio() float64 { return r.ShareAlone / r.Share }
+
+// Met says whether the variant is within FairnessTarget.
+func (r FairnessRow) Met() bool {
+	return r.Ratio() <= FairnessTarget && r.ShareRatio() <= FairnessTarget
+}
+
+// ExcessRatio returns the p99 during the excess over that of the same trace without it.
+func (r FairnessRow) ExcessRatio() float64 { return float64(r.Excess) / float64(r.AtRate) }
+
+// Fairness measures, in virtual time, how much each organisation notices of a neighbour that sends several times its
+// rate: at one endpoint and at several over which entries spread the requests, with endpoints that are half used and
+// seven tenths used while everybody sends their rate.
+func Fairness(seed uint64) []FairnessRow {
+	var rows []FairnessRow
+	for _, use := range []float64{0.5, 0.7} {
+		for _, endpoints := range []int{1, 4, 12} {
+			rows = append(rows, MeasureFairness(FairnessConfig{Seed: seed, Endpoints: endpoints, Use: use,
+				Duration: FairnessDuration, Variants: FairnessVariants()})...)
+		}
+	}
+	return rows
+}
+
+// MeasureFairness measures variants on the same trace.
+func MeasureFairness(c FairnessConfig) []FairnessRow {
+	trace := fairnessTrace(c)
+	only := func(v FairnessVariant, keep func(fairnessCall) bool) fairnessResult {
+		var calls []fairnessCall
+		for _, call := range trace {
+			if keep(call) {
+				calls = append(calls, call)
+			}
+		}
+		return fairnessRun(c, v, calls)
+	}
+	var rows []FairnessRow
+	for _, v := range c.Variants {
+		atRate := only(v, func(call fairnessCall) bool { return !call.excess })
+		excess := only(v, func(fairnessCall) bool { return true })
+		row := FairnessRow{Use: c.Use, Endpoints: c.Endpoints, Variant: v.Name, Share: math.Inf(1), Batch: excess.batch}
+		for _, o := range fairnessOrganisations[1:] {
+			alone := only(v, func(call fairnessCall) bool { return call.Organisation == o.name })
+			p99, p99Alone := excess.p99(o.name), alone.p99(o.name)
+			if row.Organisation == "" || float64(p99)/float64(p99Alone) > row.Ratio() {
+				row.Organisation, row.Alone, row.AtRate, row.Excess = o.name, p99Alone, atRate.p99(o.name), p99
+			}
+			if share := excess.share(o.name); share < row.Share {
+				row.Share, row.ShareAlone = share, alone.share(o.name)
+			}
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// fairnessCall is a request of the trace with the response length that only the engine knows.
+type fairnessCall struct {
+	scheduler.Request
+	answer int
+	// entry is the entry that got the request.
+	entry int
+	// excess marks the requests beyond the organisation's rate.
+	excess bool
+}
+
+// fairnessTrace draws Poisson arrivals; prompts and responses have log-normal lengths, as in chat and drafting.
+func fairnessTrace(c FairnessConfig) []fairnessCall {
+	var calls []fairnessCall
+	for i, o := range fairnessOrganisations {
+		rng := rand.New(rand.NewPCG(c.Seed, uint64(i)))
+		rate := c.rate(o.weight)
+		multiple := 1
+		if i == 0 {
+			multiple = fairnessExcess
+		}
+		for part := range multiple {
+			for at := time.Duration(0); ; {
+				at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+				if at > c.Duration {
+					break
+				}
+				answer := min(int(logNormal(rng, 100, 0.6)), fairnessAnswerLimit)
+				calls = append(calls, fairnessCall{excess: part > 0, answer: max(answer, 1), Request: scheduler.Request{
+					Organisation: o.name, Weight: o.weight, Arrived: at, AnswerTokens: fairnessAnswerLimit,
+					PromptTokens: 1 + min(int(logNormal(rng, 600, 0.8)), 8000),
+				}})
+			}
+		}
+	}
+	slices.SortStableFunc(calls, func(a, b fairnessCall) int { return int(a.Arrived - b.Arrived) })
+	for i := range calls {
+		calls[i].ID = fmt.Sprint(i)
+	}
+	return calls
+}
+
+// rate returns the requests a second of an organisation with the given weight.
+func (c FairnessConfig) rate(weight float64) float64 {
+	total := 0.0
+	for _, o := range fairnessOrganisations {
+		total += o.weight
+	}
+	// A request holds a place of the batch for about 100 steps of decoding and one of prefill.
+	capacity := float64(c.Endpoints*fairnessBatch) / (101 * fairnessStep.Seconds())
+	return c.Use * capacity * weight / total
+}
+
+// fairnessLimit is the neighbour's token bucket, in requests of mean size.
+type fairnessLimit struct {
+	rate, level float64
+	at          time.Duration
+}
+
+func (l *fairnessLimit) admits(now time.Duration) bool {
+	l.level = min(l.level+l.rate*(now-l.at).Seconds(), l.rate*fairnessBurst.Seconds())
+	l.at = now
+	if l.level < 1 {
+		return false
+	}
+	l.level--
+	return true
+}
+
+// logNormal draws from a log-normal distribution with the given mean.
+func logNormal(rng *rand.Rand, mean, sigma float64) float64 {
+	return math.Exp(rng.NormFloat64()*sigma + math.Log(mean) - sigma*sigma/2)
+}
+
+// fairnessResult holds what organisations got in one run.
+type fairnessResult struct {
+	firstTokens  map[string][]time.Duration
+	sent, served map[string]float64
+	batch        float64
+}
+
+func (r fairnessResult) share(organisation string) float64 {
+	return r.served[organisation] / r.sent[organisation]
+}
+
+func (r fairnessResult) p99(organisation string) time.Duration {
+	times := slices.Sorted(slices.Values(r.firstTokens[organisation]))
+	if len(times) == 0 {
+		return 0
+	}
+	return times[min(len(times)*99/100, len(times)-1)]
+}
+
+// fairnessEndpoint is one sidecar's queue and its engine.
+type fairnessEndpoint struct {
+	queue   scheduler.Queue
+	running []*fairnessRunning
+	by      map[string]int
+	// reported and fair are what the endpoint last reported, all tokens and those without long queues, plus the tokens
+	// that entries have sent since.
+	reported, fair float64
+	// open is the cost of the calls that an entry has sent and not got back, by entry and organisation.
+	open [fairnessEntries]map[string]float64
+}
+
+type fairnessRunning struct {
+	fairnessCall
+	prompt, answer int
+}
+
+func fairnessRun(c FairnessConfig, v FairnessVariant, calls []fairnessCall) fairnessResult {
+	result := fairnessResult{firstTokens: map[string][]time.Duration{}, sent: map[string]float64{}, served: map[string]float64{}}
+	byID := make(map[string]fairnessCall, len(calls))
+	endpoints := make([]*fairnessEndpoint, c.Endpoints)
+	for i := range endpoints {
+		e := &fairnessEndpoint{by: map[string]int{}, queue: scheduler.New(scheduler.Config{Policy: v.Policy,
+			MaxRunning: fairnessBatch, Reserved: v.Reserved, CreditTokens: v.Credit,
+			ReservedTokens: fairnessBatch * scheduler.Cost(600, fairnessAnswerLimit),
+		})}
+		for entry := range e.open {
+			e.open[entry] = map[string]float64{}
+		}
+		endpoints[i] = e
+	}
+	rng := rand.New(rand.NewPCG(c.Seed, math.MaxUint64))
+	neighbour := fairnessOrganisations[0]
+	limit := &fairnessLimit{rate: fairnessLimitRatio * c.rate(neighbour.weight)}
+	limit.level = limit.rate * fairnessBurst.Seconds()
+	steps, busy := 0, 0
+	for now := time.Duration(0); now < c.Duration; now += fairnessStep {
+		if now%fairnessReport == 0 {
+			for _, e := range endpoints {
+				e.report(now)
+			}
+		}
+		for len(calls) > 0 && calls[0].Arrived <= now {
+			call := calls[0]
+			calls = calls[1:]
+			if v.Limited && call.Organisation == neighbour.name && !limit.admits(now) {
+				continue
+			}
+			call.entry = rng.IntN(fairnessEntries)
+			byID[call.ID] = call
+			result.sent[call.Organisation] += scheduler.Cost(call.PromptTokens, call.answer)
+			// An entry takes the better one of two endpoints.
+			e, other := endpoints[rng.IntN(c.Endpoints)], endpoints[rng.IntN(c.Endpoints)]
+			if other.score(call, v) < e.score(call, v) {
+				e = other
+			}
+			e.send(call, now)
+		}
+		for _, e := range endpoints {
+			e.fill(byID, now)
+			steps++
+			busy += len(e.running)
+			e.step(now+fairnessStep, result)
+		}
+	}
+	result.batch = float64(busy) / float64(steps*fairnessBatch)
+	return result
+}
+
+// report tells the entries the load.
+func (e *fairnessEndpoint) report(now time.Duration) {
+	load := e.queue.Load(now)
+	running := 0.0
+	for _, r := range e.running {
+		running += r.Cost()
+	}
+	e.reported, e.fair = load.Tokens+running, load.FairTokens+running
+}
+
+func (e *fairnessEndpoint) score(call fairnessCall, v FairnessVariant) float64 {
+	if v.FairPlacement {
+		return e.fair + e.open[call.entry][call.Organisation]
+	}
+	return e.reported
+}
+
+func (e *fairnessEndpoint) send(call fairnessCall, now time.Duration) {
+	e.reported += call.Cost()
+	e.open[call.entry][call.Organisation] += call.Cost()
+	e.queue = e.queue.WithRequest(call.Request, now)
+}
+
+// fill gives the engine what the queue picks.
+func (e *fairnessEndpoint) fill(byID map[string]fairnessCall, now time.Duration) {
+	for {
+		var r scheduler.Request
+		var ok bool
+		e.queue, r, ok = e.queue.Next(scheduler.State{Running: len(e.running),
+			RunningBy: func(organisation string) int { return e.by[organisation] }}, now)
+		if !ok {
+			return
+		}
+		e.by[r.Organisation]++
+		e.running = append(e.running, &fairnessRunning{fairnessCall: byID[r.ID]})
+	}
+}
+
+// step makes one step of the engine, which ends at now.
+func (e *fairnessEndpoint) step(now time.Duration, result fairnessResult) {
+	budget := fairnessPrefill
+	kept := e.running[:0]
+	for _, r := range e.running {
+		if r.prompt < r.PromptTokens {
+			part := min(budget, r.PromptTokens-r.prompt)
+			r.prompt += part
+			budget -= part
+			result.served[r.Organisation] += float64(part)
+			if r.prompt < r.PromptTokens {
+				kept = append(kept, r)
+				continue
+			}
+			result.firstTokens[r.Organisation] = append(result.firstTokens[r.Organisation], now-r.Arrived)
+		}
+		r.answer++
+		result.served[r.Organisation] += scheduler.Cost(0, 1)
+		if r.answer < r.fairnessCall.answer {
+			kept = append(kept, r)
+			continue
+		}
+		e.by[r.Organisation]--
+		e.open[r.entry][r.Organisation] -= r.Cost()
+		e.queue = e.queue.WithCompletion(r.Request, r.PromptTokens, r.answer)
+	}
+	clear(e.running[len(kept):])
+	e.running = kept
+}
+
+// WriteFairness writes rows as a table in Markdown.
+func WriteFairness(w io.Writer, rows []FairnessRow) error {
+	table := tablewriter.NewTable(w, tablewriter.WithRenderer(renderer.NewMarkdown()),
+		tablewriter.WithHeaderAutoFormat(tw.Off))
+	table.Header("Use", "Endpoints", "Order", "Worst served", "p99 alone", "p99 at 1x", "p99 at 5x",
+		"To alone", "To 1x", "Share", "Share alone", "Batch used", "Within 1.25")
+	for _, r := range rows {
+		met := "no"
+		if r.Met() {
+			met = "yes"
+		}
+		err := table.Append(fmt.Sprint(r.Use), fmt.Sprint(r.Endpoints), r.Variant, r.Organisation, milliseconds(r.Alone),
+			milliseconds(r.AtRate), milliseconds(r.Excess), fmt.Sprintf("%.2f", r.Ratio()),
+			fmt.Sprintf("%.2f", r.ExcessRatio()), fmt.Sprintf("%.3f", r.Share), fmt.Sprintf("%.3f", r.ShareAlone), fmt.Sprintf("%.2f", r.Batch), met)
+		if err != nil {
+			return errors.Wrap(err, "add a row to the table")
+		}
+	}
+	return errors.Wrap(table.Render(), "write the table")
+}
+
+func milliseconds(d time.Duration) string { return fmt.Sprintf("%d ms", d.Milliseconds()) }
