--- a/internal/experimenter/fairness.go
+++ b/internal/experimenter/fairness.go
@@ -65,7 +65,7 @@
 	// Credit and Reserved are those of scheduler.Config.
 	Credit   float64
 	Reserved int
-	// FairPlacement makes entries compare endpoints by scheduler.Load.FairTokens and what they have sent for the same
+	// FairPlacement makes entries compare endpoints by scheduler.Queue.FairTokens and what they have sent for the same
 	// organisation, in place of all tokens that wait.
 	FairPlacement bool
 	// Limited makes entries refuse what the neighbour sends over its rate limit, as the product does: 1.25 times its
@@ -327,12 +327,11 @@
 
 // report tells the entries the load.
 func (e *fairnessEndpoint) report(now time.Duration) {
-	load := e.queue.Load(now)
 	running := 0.0
 	for _, r := range e.running {
 		running += r.Cost()
 	}
-	e.reported, e.fair = load.Tokens+running, load.FairTokens+running
+	e.reported, e.fair = e.queue.Load().Tokens+running, e.queue.FairTokens(now)+running
 }
 
 func (e *fairnessEndpoint) score(call fairnessCall, v FairnessVariant) float64 {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -309,23 +309,26 @@
 type Load struct {
 	Requests int
 	// Tokens is the expected cost of the waiting requests.
-	Tokens float64
-	// FairTokens is Tokens without the organisations that have had requests waiting for longer than BackloggedFor. It is
-	// what a request of an organisation without such a queue waits for, and so the figure for choosing between
-	// endpoints: a neighbour's long queue makes no difference to others.
-	FairTokens    float64
+	Tokens        float64
 	Organisations int
 }
 
 // Load returns what waits.
-func (q Queue) Load(now time.Duration) Load {
-	load := Load{Requests: len(q.items), Tokens: q.tokens, Organisations: len(q.backlogged)}
+func (q Queue) Load() Load {
+	return Load{Requests: len(q.items), Tokens: q.tokens, Organisations: len(q.backlogged)}
+}
+
+// FairTokens returns Load.Tokens without the organisations that have had requests waiting for longer than BackloggedFor.
+// It is what a request of an organisation without such a queue waits for, and so the figure for choosing between
+// endpoints: a neighbour's long queue makes no difference to others.
+func (q Queue) FairTokens(now time.Duration) float64 {
+	tokens := 0.0
 	for _, o := range q.backlogged {
 		if !q.long(o, now) {
-			load.FairTokens += o.cost
+			tokens += o.cost
 		}
 	}
-	return load
+	return tokens
 }
 
 // long says whether an organisation has had requests waiting without a break for longer than BackloggedFor.
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -186,9 +186,10 @@
 	running["large"] = 0
 	add("small", 1, 10, later)
 	assert.Equal(t, fill(later), 5)
-	assert.Equal(t, q.Load(later), scheduler.Load{Requests: 8, Tokens: 80, Organisations: 1})
+	assert.Equal(t, q.Load(), scheduler.Load{Requests: 8, Tokens: 80, Organisations: 1})
+	assert.Equal(t, q.FairTokens(later), 0.0)
 	add("small", 2, 10, later+1)
-	assert.Equal(t, q.Load(later).FairTokens, 20.0)
+	assert.Equal(t, q.FairTokens(later), 20.0)
 	assert.Equal(t, fill(later), 7)
 	add("small", 1, 1000, later+2)
 	assert.Equal(t, fill(later), 7, "the lead that the reserved part gives is bounded")
@@ -215,7 +216,7 @@
 		order = append(order, r.ID)
 	}
 	assert.DeepEqual(t, order, []string{"", "0", "2", "4", "", "1", "3"})
-	assert.Equal(t, q.Load(0), scheduler.Load{})
+	assert.Equal(t, q.Load(), scheduler.Load{})
 }
 
 // Guards against work that is started although its caller will have given up, and against refusing work in time.
@@ -237,7 +238,7 @@
 	q, refused = q.Refusals(2*time.Second + 1)
 	assert.Equal(t, len(refused), 1)
 	assert.Equal(t, refused[0].ID, "first")
-	assert.Equal(t, q.Load(0), scheduler.Load{})
+	assert.Equal(t, q.Load(), scheduler.Load{})
 }
 
 // Guards against baselines that are not what they are named after, which would make comparisons with them worthless.
