--- a/internal/experimenter/limits.go
+++ b/internal/experimenter/limits.go
@@ -78,12 +78,12 @@
 	exchangeEvery = time.Second
 	// ownerLease is the lease of the baseline with one owner for each organisation.
 	ownerLease = 6 * time.Second
-	// warmUp lets buckets, which start empty, fill before anything is measured.
-	warmUp = 30 * time.Second
+	// limitsWarmUp lets buckets, which start empty, fill before anything is measured.
+	limitsWarmUp = 30 * time.Second
 	// provenAfter is the time from a loss to the epoch without the lost entry: two lists of VMs without it, which
 	// are read every three seconds and lag by a few.
 	provenAfter = 10 * time.Second
-	lossAt      = warmUp + 60*time.Second
+	lossAt      = limitsWarmUp + 60*time.Second
 )
 
 // limitsSize describes one of the two users.
@@ -113,7 +113,7 @@
 type scenario struct {
 	name     string
 	duration time.Duration
-	// from and to bound the part that counts; zero means all after warmUp.
+	// from and to bound the part that counts; zero means all after limitsWarmUp.
 	from, to time.Duration
 	// only selects the organisations that count; nil for all.
 	only func(organisation int) bool
@@ -245,14 +245,14 @@
 	storeBack()
 }
 
-// event is something that happens at a time; sequence keeps the order of equal times.
-type event struct {
+// limitsEvent is something that happens at a time; sequence keeps the order of equal times.
+type limitsEvent struct {
 	at       time.Duration
 	sequence int
 	do       func()
 }
 
-type events []event
+type events []limitsEvent
 
 func (e events) Len() int { return len(e) }
 func (e events) Less(i, j int) bool {
@@ -261,7 +261,7 @@
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
 
 // Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) Push(x any) { *e = append(*e, x.(limitsEvent)) }
 
 // Pop implements heap.Interface.
 func (e *events) Pop() any {
@@ -321,7 +321,7 @@
 // after runs do when d has passed.
 func (r *limitsRun) after(d time.Duration, do func()) {
 	r.sequence++
-	heap.Push(&r.queue, event{r.now + d, r.sequence, do})
+	heap.Push(&r.queue, limitsEvent{r.now + d, r.sequence, do})
 }
 
 // message runs do at the receiving entry after the network's latency, unless it is down by then.
@@ -342,10 +342,10 @@
 func (r *limitsRun) play() {
 	for _, q := range r.requests {
 		r.sequence++
-		heap.Push(&r.queue, event{q.at, r.sequence, func() { r.arrive(q) }})
+		heap.Push(&r.queue, limitsEvent{q.at, r.sequence, func() { r.arrive(q) }})
 	}
 	if r.scenario.lost >= 0 {
-		heap.Push(&r.queue, event{lossAt, 0, func() {
+		heap.Push(&r.queue, limitsEvent{lossAt, 0, func() {
 			r.down[r.scenario.lost] = true
 			r.policy.lose(r.scenario.lost)
 			if r.scenario.replacedAfterwards {
@@ -354,10 +354,10 @@
 		}})
 	}
 	if r.scenario.storeAway > 0 {
-		heap.Push(&r.queue, event{lossAt + r.scenario.storeAway, 0, func() { r.policy.storeBack() }})
+		heap.Push(&r.queue, limitsEvent{lossAt + r.scenario.storeAway, 0, func() { r.policy.storeBack() }})
 	}
 	for len(r.queue) > 0 && r.queue[0].at <= r.scenario.duration+time.Minute {
-		e := heap.Pop(&r.queue).(event)
+		e := heap.Pop(&r.queue).(limitsEvent)
 		r.now = e.at
 		e.do()
 	}
@@ -407,7 +407,7 @@
 func (r *limitsRun) addTo(row *LimitsRow) (waits time.Duration) {
 	from, to := r.scenario.from, r.scenario.to
 	if to == 0 {
-		from, to = warmUp, r.scenario.duration
+		from, to = limitsWarmUp, r.scenario.duration
 	}
 	counted := row.Requests
 	admissions := make([][]admission, len(r.size.limits))
