router: refuse a request that a planned stop has overtaken

Cause: newCall looked whether the entry drains, and the call was counted as open only after its body had been read. A stop that began between the two could find the entry idle, give up its shares and end under the request. Ruled out: the order of the checks in Drain, which is under the lock. Change: open refuses the call, not run, when the entry drains already. Before and after: found by reading; the window is too short for the fault schedules to have hit it.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -141,7 +141,7 @@
 // newCall checks what all requests have in common.
 func (r *Router) newCall(req *http.Request) (*call, *callError) {
 	if r.isDraining() {
-		return nil, unavailable("leaving", "this entry is leaving; send the request again")
+		return nil, errLeaving
 	}
 	if err := r.config.Follower.MayServe(r.now()); err != nil {
 		return nil, unavailable("configuration_not_proven", err.Error())
@@ -265,7 +265,11 @@
 		r.refuse(w, req, cl, failure)
 		return nil
 	}
-	release := r.open(cl)
+	release, failure := r.open(cl)
+	if failure != nil {
+		r.refuse(w, req, cl, failure)
+		return nil
+	}
 	defer release()
 	ctx, cancel := r.callContext(req.Context(), cl)
 	defer cancel()
@@ -315,7 +319,11 @@
 		r.refuse(w, req, cl, failure)
 		return nil
 	}
-	release := r.open(cl)
+	release, failure := r.open(cl)
+	if failure != nil {
+		r.refuse(w, req, cl, failure)
+		return nil
+	}
 	defer release()
 	ctx, cancel := r.callContext(req.Context(), cl)
 	defer cancel()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -129,19 +129,25 @@
 	return e
 }
 
-// open counts a call as being answered, until the function that it returns is called.
-func (r *Router) open(cl *call) (release func()) {
+// open counts a call as being answered, until the function that it returns is called. A planned stop that began since
+// newCall looked for it must refuse the call, because it may already have found the entry idle.
+func (r *Router) open(cl *call) (release func(), failure *callError) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.draining {
+		return nil, errLeaving
+	}
 	r.calls[cl.id] = &openCall{call: cl, cancel: func(error) {}}
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.calls, cl.id)
 		r.checkIdle()
-	}
+	}, nil
 }
 
+var errLeaving = unavailable("leaving", "this entry is leaving; send the request again")
+
 func (r *Router) isDraining() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
