--- a/internal/launcher/demo.go
+++ b/internal/launcher/demo.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,14 @@
 	Log    zerolog.Logger
 	// DrainDelay is how long the entries serve on after a planned stop was asked for.
 	DrainDelay time.Duration
+	// Slots is the number of adapters that an engine holds; demoSlots when 0.
+	Slots int
+	// LeaseTTL is the time to live of an endpoint's lease; that of the settings when 0.
+	LeaseTTL time.Duration
+	// WorkTime is how long a ledger takes for a booking.
+	WorkTime time.Duration
+	// WrapEngine and WrapLedger, if set, replace the handler of the stand-in with the given index.
+	WrapEngine, WrapLedger func(index int, handler http.Handler) http.Handler
 }
 
 // DemoAnnouncement is the line that the demo prints when it is ready.
@@ -79,10 +88,41 @@
 	config       DemoConfig
 	announcement DemoAnnouncement
 	servers      []demoServer
-	sidecars     []*Sidecar
-	entries      []*Entry
 	platform     *emulator.Platform
 	engines      []*emulator.Engine
+	ledgers      []*emulator.Ledger
+
+	// mu guards the processes, which Restart replaces.
+	mu       sync.Mutex
+	sidecars []*demoProcess[*Sidecar]
+	entries  []*demoProcess[*Entry]
+}
+
+// demoProcess is one process of the demo and how it is stopped.
+type demoProcess[T runner] struct {
+	process T
+	stop    context.CancelFunc
+	// ended is closed when Run has returned; err is what it returned.
+	ended chan struct{}
+	err   error
+}
+
+// start runs a process until it is stopped.
+func start[T runner](process T) *demoProcess[T] {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &demoProcess[T]{process: process, stop: cancel, ended: make(chan struct{})}
+	go func() {
+		defer close(p.ended)
+		p.err = process.Run(ctx)
+	}()
+	return p
+}
+
+// end performs the planned stop and waits for it.
+func (p *demoProcess[T]) end() error {
+	p.stop()
+	<-p.ended
+	return p.err
 }
 
 type demoServer struct {
@@ -94,10 +134,69 @@
 func (d *Demo) Announcement() DemoAnnouncement { return d.announcement }
 
 // Entries are the demo's entries.
-func (d *Demo) Entries() []*Entry { return d.entries }
+func (d *Demo) Entries() []*Entry { return processes(&d.mu, &d.entries) }
 
 // Sidecars are the demo's sidecars, those of the model engines first.
-func (d *Demo) Sidecars() []*Sidecar { return d.sidecars }
+func (d *Demo) Sidecars() []*Sidecar { return processes(&d.mu, &d.sidecars) }
+
+func processes[T runner](mu *sync.Mutex, all *[]*demoProcess[T]) []T {
+	mu.Lock()
+	defer mu.Unlock()
+	out := make([]T, 0, len(*all))
+	for _, p := range *all {
+		out = append(out, p.process)
+	}
+	return out
+}
+
+// Ledgers are the stand-ins of the plain service, in the order of their sidecars.
+func (d *Demo) Ledgers() []*emulator.Ledger { return d.ledgers }
+
+// StopEntry performs the planned stop of an entry and waits for its end, as it does for one that was killed.
+func (d *Demo) StopEntry(index int) error { return at(&d.mu, &d.entries, index).end() }
+
+// StopSidecar performs the planned stop of a sidecar and waits for its end, as it does for one that was killed.
+func (d *Demo) StopSidecar(index int) error { return at(&d.mu, &d.sidecars, index).end() }
+
+func at[T runner](mu *sync.Mutex, all *[]*demoProcess[T], index int) *demoProcess[T] {
+	mu.Lock()
+	defer mu.Unlock()
+	return (*all)[index]
+}
+
+// RestartEntry starts a new incarnation of an entry that has ended, at the same addresses.
+func (d *Demo) RestartEntry(index int) error {
+	old := at(&d.mu, &d.entries, index)
+	<-old.ended
+	settings := old.process.settings
+	settings.Listen, settings.PeerListen = old.process.callers.Addr().String(), old.process.peers.Addr().String()
+	entry, err := NewEntry(settings, old.process.log)
+	if err != nil {
+		return err
+	}
+	replace(&d.mu, &d.entries, index, start(entry))
+	return nil
+}
+
+// RestartSidecar starts a new incarnation of a sidecar that has ended, at the same address.
+func (d *Demo) RestartSidecar(index int) error {
+	old := at(&d.mu, &d.sidecars, index)
+	<-old.ended
+	settings := old.process.settings
+	settings.PeerListen = old.process.peers.Addr().String()
+	sidecar, err := NewSidecar(settings, old.process.log)
+	if err != nil {
+		return err
+	}
+	replace(&d.mu, &d.sidecars, index, start(sidecar))
+	return nil
+}
+
+func replace[T runner](mu *sync.Mutex, all *[]*demoProcess[T], index int, p *demoProcess[T]) {
+	mu.Lock()
+	defer mu.Unlock()
+	(*all)[index] = p
+}
 
 // Engines are the stand-ins of the model engines, in the order of their sidecars.
 func (d *Demo) Engines() []*emulator.Engine { return d.engines }
@@ -110,6 +209,9 @@
 
 // NewDemo opens all listeners and assembles the processes.
 func NewDemo(c DemoConfig) (*Demo, error) {
+	if c.Slots == 0 {
+		c.Slots = demoSlots
+	}
 	d := &Demo{config: c}
 	for _, step := range []func() error{d.openPlatform, d.openFolder, d.openEndpoints, d.openEntries} {
 		if err := step(); err != nil {
@@ -164,11 +266,11 @@
 func (d *Demo) openEndpoints() error {
 	for i := range demoModels {
 		engine := emulator.NewEngine(emulator.EngineConfig{
-			BaseModel: demoBaseModel, Slots: demoSlots, MaxRunning: demoBatch, StepTime: demoStep,
+			BaseModel: demoBaseModel, Slots: d.config.Slots, MaxRunning: demoBatch, StepTime: demoStep,
 			WeightsURL: d.announcement.Platform, ChecksFence: i%2 == 0,
 		})
 		d.engines = append(d.engines, engine)
-		url, err := d.serve(engine.Handler())
+		url, err := d.serve(wrapped(d.config.WrapEngine, i, engine.Handler()))
 		if err != nil {
 			return err
 		}
@@ -176,7 +278,7 @@
 		s := configurer.Defaults[configurer.Sidecar]()
 		s.Common = d.common("model", i)
 		s.Endpoint.URL, s.Endpoint.BaseModel, s.Endpoint.ChecksFence = url, demoBaseModel, i%2 == 0
-		s.Endpoint.Slots, s.Endpoint.MaxRunning = demoSlots, demoBatch
+		s.Endpoint.Slots, s.Endpoint.MaxRunning = d.config.Slots, demoBatch
 		s.Endpoint.TokensPerSecond = float64(demoBatch) * float64(time.Second) / float64(demoStep)
 		if err := d.addSidecar(s); err != nil {
 			return err
@@ -184,7 +286,9 @@
 	}
 	book := emulator.NewLedgerBook()
 	for i := range demoLedgers {
-		url, err := d.serve(emulator.NewLedger(emulator.LedgerConfig{Book: book}).Handler())
+		ledger := emulator.NewLedger(emulator.LedgerConfig{Book: book, WorkTime: d.config.WorkTime})
+		d.ledgers = append(d.ledgers, ledger)
+		url, err := d.serve(wrapped(d.config.WrapLedger, i, ledger.Handler()))
 		if err != nil {
 			return err
 		}
@@ -201,12 +305,22 @@
 	return nil
 }
 
+func wrapped(wrap func(int, http.Handler) http.Handler, index int, handler http.Handler) http.Handler {
+	if wrap == nil {
+		return handler
+	}
+	return wrap(index, handler)
+}
+
 func (d *Demo) addSidecar(s configurer.Sidecar) error {
+	if d.config.LeaseTTL > 0 {
+		s.LeaseTTL = d.config.LeaseTTL
+	}
 	sidecar, err := NewSidecar(s, d.config.Log.With().Str("Vm", s.VM).Logger())
 	if err != nil {
 		return err
 	}
-	d.sidecars = append(d.sidecars, sidecar)
+	d.sidecars = append(d.sidecars, &demoProcess[*Sidecar]{process: sidecar})
 	d.platform.VMList.Register(emulator.RegisteredVM{
 		VM: s.VM, Address: sidecar.Address(), FailureDomain: s.FailureDomain, Role: string(wire.DescriptorRoleSidecar), State: "live",
 	})
@@ -226,7 +340,7 @@
 		if err != nil {
 			return err
 		}
-		d.entries = append(d.entries, entry)
+		d.entries = append(d.entries, &demoProcess[*Entry]{process: entry})
 		d.announcement.Entries = append(d.announcement.Entries, entry.URL())
 		d.platform.VMList.Register(emulator.RegisteredVM{
 			VM: s.VM, Address: entry.Address(), FailureDomain: s.FailureDomain, Role: string(wire.DescriptorRoleEntry), State: "live",
@@ -247,12 +361,8 @@
 	standInsEnd := make(chan error, 1)
 	go func() { standInsEnd <- standIns.Run() }()
 
-	sidecarsCtx, stopSidecars := context.WithCancel(context.Background())
-	defer stopSidecars()
-	sidecarEnds := runAll(sidecarsCtx, d.sidecars)
-	entriesCtx, stopEntries := context.WithCancel(context.Background())
-	defer stopEntries()
-	entryEnds := runAll(entriesCtx, d.entries)
+	startAll(&d.mu, d.sidecars)
+	startAll(&d.mu, d.entries)
 	watchEnd := make(chan error, 1)
 	go func() { watchEnd <- d.watch(ctx) }()
 
@@ -261,10 +371,8 @@
 		<-ctx.Done()
 	}
 	d.config.Log.Info().Msg("demo: stopping")
-	stopEntries()
-	err = errors.Join(err, collect(entryEnds, len(d.entries)))
-	stopSidecars()
-	err = errors.Join(err, collect(sidecarEnds, len(d.sidecars)))
+	err = errors.Join(err, stopAll(&d.mu, &d.entries))
+	err = errors.Join(err, stopAll(&d.mu, &d.sidecars))
 	for _, e := range d.engines {
 		e.Close()
 	}
@@ -276,20 +384,27 @@
 	Run(ctx context.Context) error
 }
 
-func runAll[T runner](ctx context.Context, all []T) <-chan error {
-	ends := make(chan error, len(all))
-	for _, r := range all {
-		go func() { ends <- r.Run(ctx) }()
+func startAll[T runner](mu *sync.Mutex, all []*demoProcess[T]) {
+	mu.Lock()
+	defer mu.Unlock()
+	for i, p := range all {
+		all[i] = start(p.process)
 	}
-	return ends
 }
 
-func collect(ends <-chan error, n int) error {
-	var all error
-	for range n {
-		all = errors.Join(all, <-ends)
+// stopAll asks all processes to stop before it waits for the first.
+func stopAll[T runner](mu *sync.Mutex, all *[]*demoProcess[T]) error {
+	mu.Lock()
+	running := append([]*demoProcess[T](nil), *all...)
+	mu.Unlock()
+	for _, p := range running {
+		p.stop()
 	}
-	return all
+	var err error
+	for _, p := range running {
+		err = errors.Join(err, p.end())
+	}
+	return err
 }
 
 // watch applies the folder at the start and after each edit.
@@ -330,7 +445,7 @@
 }
 
 func (d *Demo) ready() bool {
-	for _, e := range d.entries {
+	for _, e := range d.Entries() {
 		status := e.Router().Status()
 		live := 0
 		for _, endpoint := range status.Endpoints {
@@ -339,7 +454,7 @@
 			}
 		}
 		shares := len(status.Limits) > 0 && status.Limits[0].Rate > 0
-		if status.Revision == 0 || live < len(d.sidecars) || !shares {
+		if status.Revision == 0 || live < demoModels+demoLedgers || !shares {
 			return false
 		}
 	}
--- a/internal/launcher/demo_test.go
+++ b/internal/launcher/demo_test.go
@@ -34,12 +34,18 @@
 }
 
 func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	return startFleetWith(t, launcher.DemoConfig{})
+}
+
+func startFleetWith(t *testing.T, c launcher.DemoConfig) *fleet {
 	t.Helper()
 	log := zerolog.Nop()
 	if testing.Verbose() {
 		log = zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.WarnLevel)
 	}
-	d, err := launcher.NewDemo(launcher.DemoConfig{Listen: "127.0.0.1:0", Folder: t.TempDir(), Log: log})
+	c.Listen, c.Folder, c.Log = "127.0.0.1:0", t.TempDir(), log
+	d, err := launcher.NewDemo(c)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{Demo: d, t: t, at: d.Announcement(), stop: cancel, ended: make(chan error, 1), client: &http.Client{}}
@@ -64,7 +70,7 @@
 			return poll.Success()
 		}
 		return poll.Continue("%s", what)
-	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+	}, poll.WithTimeout(25*time.Second), poll.WithDelay(10*time.Millisecond))
 }
 
 func (f *fleet) do(method, url, key, idempotency string, body any) (*http.Response, string) {
