router: give each dispatch of a booking its own run ID

Cause: a sidecar that refuses a dispatch remembers its ID as void, and the entry sent a call that may not be repeated again under the same ID. A booking refused for a stale revision was therefore refused as voided once the revision had arrived, and with an idempotency key ended in 409 with the outcome unknown although it had never run. Ruled out: dropping the void at the refusal, because a copy of the message could then run after the refusal. Change: the second and later dispatches have IDs of their own, which the claim row names for joins and voids. Before: TestBookingIsSentAgainAfterARefusalByTheSameSidecar failed with voided and claim_contended. After: it passes. The other tests of bookings_test.go guard bookings and answers around dead sidecars and entries, and a faulty table.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -50,6 +50,9 @@
 	prefixTokens int
 
 	model *modelRequest
+
+	// dispatches counts the dispatches of a call that may not be repeated.
+	dispatches int
 }
 
 // name is what the engine calls the adapter version.
--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -100,7 +100,8 @@
 
 // runUnderClaim claims the call for an endpoint and runs it there.
 func (r *Router) runUnderClaim(ctx context.Context, cl *call, c claim, attempt int, mine claimer.Claim, sink *serviceSink) (failure *callError, again bool) {
-	contended := false
+	// owned says that the row is one of this call's; another's must not be changed.
+	contended, owned := false, false
 	failure = r.runOnce(ctx, cl, sink, func(d dispatch) *callError {
 		row := rowOf(cl, mine, d, attempt)
 		attempt++
@@ -112,6 +113,7 @@
 			contended = true
 			return errVoided
 		}
+		owned = true
 		return nil
 	})
 	switch {
@@ -122,7 +124,7 @@
 		return nil, false
 	case failure.outcome == unknown:
 		r.record(ctx, &c, func(row *wire.ClaimRow) { row.State = wire.ClaimRowStateUnknown })
-	case failure.outcome == notRun && c.row.RequestID == cl.id:
+	case failure.outcome == notRun && owned:
 		r.record(ctx, &c, func(row *wire.ClaimRow) { row.State = wire.ClaimRowStateNotRun })
 	}
 	return failure, false
@@ -130,7 +132,7 @@
 
 func rowOf(cl *call, mine claimer.Claim, d dispatch, attempt int) wire.ClaimRow {
 	return wire.ClaimRow{
-		RequestID: cl.id, Digest: mine.Digest, Entry: mine.Entry, Endpoint: d.endpoint.VM, Address: d.endpoint.Address,
+		RequestID: d.runID, Digest: mine.Digest, Entry: mine.Entry, Endpoint: d.endpoint.VM, Address: d.endpoint.Address,
 		Incarnation: d.endpoint.Incarnation, Attempt: attempt, State: wire.ClaimRowStateClaimed,
 		CreatedMs: mine.Created.UnixMilli(), DeadlineMs: cl.deadline.UnixMilli(),
 	}
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -63,7 +63,7 @@
 	if cl.repeatable {
 		return fmt.Sprintf("%s/%d", cl.id, d.attempt)
 	}
-	return cl.id
+	return cmp.Or(d.runID, cl.id)
 }
 
 // result is how a dispatch ended, unless it brought the whole answer.
@@ -312,7 +312,7 @@
 // runHeader describes the request for the sidecar.
 func (r *Router) runHeader(cl *call, d *dispatch) wire.RunHeader {
 	return wire.RunHeader{
-		RequestID: cl.id, Attempt: d.attempt, Entry: r.config.Settings.VM, Incarnation: d.endpoint.Incarnation,
+		RequestID: cmp.Or(d.runID, cl.id), Attempt: d.attempt, Entry: r.config.Settings.VM, Incarnation: d.endpoint.Incarnation,
 		Revision: r.config.Follower.Current().Number(), Organisation: cl.organisation.Name, Weight: cl.organisation.Weight,
 		Adapter: cl.adapter, Version: cl.version, BaseModel: cl.baseModel, WeightPath: cl.path, Priority: cl.route.Priority,
 		RemainingMs: cl.remaining(r.now()).Milliseconds(), PromptTokens: cl.promptTokens, AnswerTokens: cl.answerTokens,
@@ -336,8 +336,9 @@
 	req.Header.Set(dispatcher.RunHeaderName, string(header))
 	req.Header.Set(dispatcher.MethodHeader, cl.method)
 	req.Header.Set(dispatcher.TargetHeader, cl.target)
-	req.Header.Set(messenger.RequestIDHeader, cl.id)
-	return r.openAnswer(req, cl.id, d.endpoint.Address)
+	id := cmp.Or(d.runID, cl.id)
+	req.Header.Set(messenger.RequestIDHeader, id)
+	return r.openAnswer(req, id, d.endpoint.Address)
 }
 
 // join asks a sidecar for the rest of a run's answer, on another connection if the last one broke.
@@ -502,7 +503,8 @@
 		if failure != nil {
 			return failure
 		}
-		d := dispatch{endpoint: endpoint, decision: decision, attempt: attempt}
+		cl.dispatches++
+		d := dispatch{endpoint: endpoint, decision: decision, attempt: attempt, runID: runID(cl)}
 		if claim != nil {
 			if failure := claim(d); failure != nil {
 				r.done(cl, d, false)
@@ -528,6 +530,15 @@
 	}
 }
 
+// runID names the next dispatch of a call that may not be repeated. A sidecar that has refused a dispatch remembers its
+// ID as void, so a later dispatch to the same sidecar needs another ID. Each dispatch before has provably not run.
+func runID(cl *call) string {
+	if cl.dispatches == 1 {
+		return cl.id
+	}
+	return fmt.Sprintf("%s-%d", cl.id, cl.dispatches)
+}
+
 // errVoided says that another entry has voided this entry's dispatch of a claimed call.
 var errVoided = unavailable("voided", "the call was taken over by a retry; send it again")
 
