router: let no call start or stream on after its key was withdrawn

Cause: adopt ends the open calls of a withdrawn key, but a call is registered, with its cancel function, only after its key was checked; one between the two ran on. A booking that waited for an endpoint was also sent after the withdrawal. Ruled out: the follower, which publishes the revision before it tells the router. Change: the key is looked up again after the registration, and before each dispatch of a booking.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -452,12 +452,25 @@
 		open.cancel = cancel
 	}
 	r.mu.Unlock()
+	// adopt does not find calls that were not yet registered when it took over the revision that withdrew their key.
+	if r.isWithdrawn(cl) {
+		cancel(errWithdrawn)
+	}
 	return ctx, func() {
 		cancel(nil)
 		cancelTime()
 	}
 }
 
+// isWithdrawn says whether the call's key has been withdrawn since it was checked.
+func (r *Router) isWithdrawn(cl *call) bool {
+	if cl.digest == "" {
+		return false
+	}
+	_, known := r.config.Follower.Current().KeyByDigest(cl.digest)
+	return !known
+}
+
 // tokensOf counts a text's tokens for limits and queues: one for each four bytes begun, and one. The engine's own count
 // is not known before it has run.
 func tokensOf(bytes int) int { return (bytes+3)/4 + 1 }
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -60,6 +60,12 @@
 	message: "the key was withdrawn while the request ran; ask the operators for a new key",
 }
 
+// errWithdrawnBefore is for a call that has not started when its key is withdrawn.
+var errWithdrawnBefore = &callError{
+	status: http.StatusUnauthorized, outcome: claimer.NotRun, kind: kindKey, code: "key_withdrawn",
+	message: "the key was withdrawn before the call started; ask the operators for a new key",
+}
+
 // errorBody is the OpenAI shape of errors.
 type errorBody struct {
 	Error errorDetail `json:"error"`
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -511,6 +511,11 @@
 				return failure
 			}
 		}
+		// A call that has started is not interrupted by the withdrawal of its key, but it must not start after it.
+		if r.isWithdrawn(cl) {
+			r.done(cl, d, false)
+			return errWithdrawnBefore
+		}
 		res := r.sendOnce(ctx, cl, &d, sink)
 		r.done(cl, d, res == nil)
 		if res == nil {
