dispatcher: do not wait out a silent connection to the endpoint

Cause: an order to load on a connection that had turned silent lasted until its timeout of 30 s, and the endpoint was not ready again before; reads of a plain service hung on reused silent connections until their deadline. Ruled out: the lease and the slots, which were right as soon as the order had ended. Change: requests to the endpoint dial anew, and an order whose answer is late ends when the engine's list of models shows its effect.

--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,10 +42,11 @@
 
 func newEngine(url string) *engine {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression: true,
+		// An open connection can turn silent for good while new ones work. HTTP/1.1 has no ping to find that out, and
+		// the engine is near, so each request dials.
+		DisableKeepAlives: true,
 	}
 	return &engine{url: strings.TrimSuffix(url, "/"), client: &http.Client{Transport: transport}}
 }
@@ -75,22 +77,42 @@
 }
 
 func (e *engine) load(ctx context.Context, name, path string, fence int64) error {
-	return e.order(ctx, "/v1/load_lora_adapter", map[string]string{"lora_name": name, "lora_path": path}, fence)
+	return e.order(ctx, "/v1/load_lora_adapter", map[string]string{"lora_name": name, "lora_path": path}, fence, true)
 }
 
 func (e *engine) unload(ctx context.Context, name string, fence int64) error {
-	return e.order(ctx, "/v1/unload_lora_adapter", map[string]string{"lora_name": name}, fence)
+	return e.order(ctx, "/v1/unload_lora_adapter", map[string]string{"lora_name": name}, fence, false)
 }
 
-func (e *engine) order(ctx context.Context, path string, order map[string]string, fence int64) error {
+// order sends an order and waits for its end. When the answer is late its connection may have turned silent, so the
+// engine's list of models is read: the order has ended when the adapter is resident as wanted.
+func (e *engine) order(ctx context.Context, path string, order map[string]string, fence int64, wanted bool) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	body, err := json.Marshal(order)
 	if err != nil {
 		return errors.Wrap(err, "encode the order")
 	}
-	_, err = e.call(ctx, http.MethodPost, path, body, fence)
-	return err
+	end := make(chan error, 1)
+	go func() {
+		_, err := e.call(ctx, http.MethodPost, path, body, fence)
+		end <- err
+	}()
+	late := time.NewTicker(quietLimit)
+	defer late.Stop()
+	for {
+		select {
+		case err := <-end:
+			return err
+		case <-late.C:
+		}
+		resident, err := e.resident(ctx, "")
+		if err == nil && slices.Contains(resident, order["lora_name"]) == wanted {
+			cancel()
+			<-end
+			return nil
+		}
+	}
 }
 
 func (e *engine) call(ctx context.Context, method, path string, body []byte, fence int64) ([]byte, error) {
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -21,29 +21,21 @@
 
 // service is the client of one plain service.
 type service struct {
-	url        string
-	repeatable *http.Client
-	once       *http.Client
+	url    string
+	client *http.Client
 }
 
 func newService(url string) *service {
-	transport := func(keepAlive bool) *http.Transport {
-		return &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-			DisableKeepAlives:   !keepAlive,
-		}
-	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &service{
-		url:        strings.TrimSuffix(url, "/"),
-		repeatable: &http.Client{Transport: transport(true), CheckRedirect: noRedirect},
+	transport := &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression: true,
 		// net/http sends a request again when a reused connection breaks and the request looks idempotent, as it does
-		// with an Idempotency-Key header. On a fresh connection it never does.
-		once: &http.Client{Transport: transport(false), CheckRedirect: noRedirect},
+		// with an Idempotency-Key header; on a fresh connection it never does. A reused connection may also have turned
+		// silent for good while new ones work.
+		DisableKeepAlives: true,
 	}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &service{url: strings.TrimSuffix(url, "/"), client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
 
 // call runs a request at the service and writes its answer.
@@ -55,11 +47,7 @@
 	}
 	req.Header = in.header.Clone()
 	req.Header.Set(messenger.RequestIDHeader, run.RequestID)
-	client := s.once
-	if run.Repeatable {
-		client = s.repeatable
-	}
-	resp, err := client.Do(req)
+	resp, err := s.client.Do(req)
 	if err != nil {
 		return serviceFailure(run, err)
 	}
