--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -50,6 +50,9 @@
 	prefixTokens int
 
 	model *modelRequest
+
+	// dispatches counts the dispatches of a call that may not be repeated.
+	dispatches int
 }
 
 // name is what the engine calls the adapter version.
@@ -141,7 +144,7 @@
 // newCall checks what all requests have in common.
 func (r *Router) newCall(req *http.Request) (*call, *callError) {
 	if r.isDraining() {
-		return nil, unavailable("leaving", "this entry is leaving; send the request again")
+		return nil, errLeaving
 	}
 	if err := r.config.Follower.MayServe(r.now()); err != nil {
 		return nil, unavailable("configuration_not_proven", err.Error())
@@ -265,7 +268,11 @@
 		r.refuse(w, req, cl, failure)
 		return nil
 	}
-	release := r.open(cl)
+	release, failure := r.open(cl)
+	if failure != nil {
+		r.refuse(w, req, cl, failure)
+		return nil
+	}
 	defer release()
 	ctx, cancel := r.callContext(req.Context(), cl)
 	defer cancel()
@@ -315,7 +322,11 @@
 		r.refuse(w, req, cl, failure)
 		return nil
 	}
-	release := r.open(cl)
+	release, failure := r.open(cl)
+	if failure != nil {
+		r.refuse(w, req, cl, failure)
+		return nil
+	}
 	defer release()
 	ctx, cancel := r.callContext(req.Context(), cl)
 	defer cancel()
@@ -441,12 +452,25 @@
 		open.cancel = cancel
 	}
 	r.mu.Unlock()
+	// adopt does not find calls that were not yet registered when it took over the revision that withdrew their key.
+	if r.isWithdrawn(cl) {
+		cancel(errWithdrawn)
+	}
 	return ctx, func() {
 		cancel(nil)
 		cancelTime()
 	}
 }
 
+// isWithdrawn says whether the call's key has been withdrawn since it was checked.
+func (r *Router) isWithdrawn(cl *call) bool {
+	if cl.digest == "" {
+		return false
+	}
+	_, known := r.config.Follower.Current().KeyByDigest(cl.digest)
+	return !known
+}
+
 // tokensOf counts a text's tokens for limits and queues: one for each four bytes begun, and one. The engine's own count
 // is not known before it has run.
 func tokensOf(bytes int) int { return (bytes+3)/4 + 1 }
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -64,7 +64,7 @@
 	if cl.repeatable {
 		return fmt.Sprintf("%s/%d", cl.id, d.attempt)
 	}
-	return cl.id
+	return cmp.Or(d.runID, cl.id)
 }
 
 // result is how a dispatch ended, unless it brought the whole answer.
@@ -345,7 +345,7 @@
 // runHeader describes the request for the sidecar.
 func (r *Router) runHeader(cl *call, d *dispatch) wire.RunHeader {
 	return wire.RunHeader{
-		RequestID: cl.id, Attempt: d.attempt, Entry: r.config.Settings.VM, Incarnation: d.endpoint.Incarnation,
+		RequestID: cmp.Or(d.runID, cl.id), Attempt: d.attempt, Entry: r.config.Settings.VM, Incarnation: d.endpoint.Incarnation,
 		Revision: r.config.Follower.Current().Number(), Organisation: cl.organisation.Name, Weight: cl.organisation.Weight,
 		Adapter: cl.adapter, Version: cl.version, BaseModel: cl.baseModel, WeightPath: cl.path, Priority: cl.route.Priority,
 		RemainingMs: cl.remaining(r.now()).Milliseconds(), PromptTokens: cl.promptTokens, AnswerTokens: cl.answerTokens,
@@ -369,8 +369,9 @@
 	req.Header.Set(dispatcher.RunHeaderName, string(header))
 	req.Header.Set(dispatcher.MethodHeader, cl.method)
 	req.Header.Set(dispatcher.TargetHeader, cl.target)
-	req.Header.Set(messenger.RequestIDHeader, cl.id)
-	return r.openAnswer(req, cl.id, d.endpoint.Address)
+	id := cmp.Or(d.runID, cl.id)
+	req.Header.Set(messenger.RequestIDHeader, id)
+	return r.openAnswer(req, id, d.endpoint.Address)
 }
 
 // join asks a sidecar for the rest of a run's answer, on another connection if the last one broke.
@@ -535,13 +536,19 @@
 		if failure != nil {
 			return failure
 		}
-		d := dispatch{endpoint: endpoint, decision: decision, attempt: attempt}
+		cl.dispatches++
+		d := dispatch{endpoint: endpoint, decision: decision, attempt: attempt, runID: runID(cl)}
 		if claim != nil {
 			if failure := claim(d); failure != nil {
 				r.done(cl, d, false)
 				return failure
 			}
 		}
+		// A call that has started is not interrupted by the withdrawal of its key, but it must not start after it.
+		if r.isWithdrawn(cl) {
+			r.done(cl, d, false)
+			return errWithdrawnBefore
+		}
 		res := r.sendOnce(ctx, cl, &d, sink)
 		r.done(cl, d, res == nil)
 		if res == nil {
@@ -561,6 +568,15 @@
 	}
 }
 
+// runID names the next dispatch of a call that may not be repeated. A sidecar that has refused a dispatch remembers its
+// ID as void, so a later dispatch to the same sidecar needs another ID. Each dispatch before has provably not run.
+func runID(cl *call) string {
+	if cl.dispatches == 1 {
+		return cl.id
+	}
+	return fmt.Sprintf("%s-%d", cl.id, cl.dispatches)
+}
+
 // errVoided says that another entry has voided this entry's dispatch of a claimed call.
 var errVoided = unavailable("voided", "the call was taken over by a retry; send it again")
 
