--- a/cmd/geraniumladder/main.go
+++ b/cmd/geraniumladder/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"geraniumladder/internal/driver"
 	"geraniumladder/internal/emulator"
 	"geraniumladder/internal/inspector"
 	"geraniumladder/internal/launcher"
@@ -26,6 +27,7 @@
 			launcher.Commands(),
 			operator.Config{InForce: inspector.ForOperators}.Commands(),
 			inspector.Commands(),
+			driver.Commands(),
 			[]*cli.Command{emulator.Commands()},
 		),
 	}
