--- a/internal/launcher/commands.go
+++ b/internal/launcher/commands.go
@@ -79,10 +79,14 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` of the first entry for callers", Value: "127.0.0.1:8080"},
 			&cli.StringFlag{Name: "folder", Usage: "operators' `FOLDER`; a sample is written when it is absent; a temporary one by default"},
+			&cli.StringFlag{Name: "log-level", Usage: "least `LEVEL` that is logged; with debug each request is, as 'trace record' needs it", Value: "info"},
 			&cli.BoolFlag{Name: "quiet", Usage: "log errors only"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			level := zerolog.InfoLevel
+			level, err := zerolog.ParseLevel(c.String("log-level"))
+			if err != nil {
+				return errors.Wrap(err, "--log-level must be debug, info, warn or error")
+			}
 			if c.Bool("quiet") {
 				level = zerolog.ErrorLevel
 			}
--- a/internal/launcher/demo.go
+++ b/internal/launcher/demo.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +50,38 @@
 	Log    zerolog.Logger
 	// DrainDelay is how long the entries serve on after a planned stop was asked for.
 	DrainDelay time.Duration
+	Fleet      FleetConfig
+}
+
+// FleetConfig is the size of the demo's fleet. A zero field has the demo's default.
+type FleetConfig struct {
+	Entries, Models, Ledgers int
+	// Spares are further model endpoints that join with Arrive.
+	Spares int
+	// Slots and Batch are the adapters and requests that an engine holds at once.
+	Slots, Batch int
+	// StepTime is the time in which an engine generates one token for each running request.
+	StepTime time.Duration
+	// LoadRate is the number of adapter loads a second that the weight store allows, LoadTime the time of one.
+	LoadRate float64
+	LoadTime time.Duration
+	Domains  []string
+	// BookingTime is how long a booking takes at a ledger.
+	BookingTime time.Duration
+	// Files are written to an empty folder instead of the sample; Keys and Routes are then announced.
+	Files  map[string]string
+	Keys   map[string]string
+	Routes DemoRoutes
+}
+
+func (c FleetConfig) withDefaults() FleetConfig {
+	c.Entries, c.Models, c.Ledgers = cmp.Or(c.Entries, demoEntries), cmp.Or(c.Models, demoModels), cmp.Or(c.Ledgers, demoLedgers)
+	c.Slots, c.Batch, c.StepTime = cmp.Or(c.Slots, demoSlots), cmp.Or(c.Batch, demoBatch), cmp.Or(c.StepTime, demoStep)
+	c.LoadRate = cmp.Or(c.LoadRate, demoLoadRate)
+	if len(c.Domains) == 0 {
+		c.Domains = demoDomains
+	}
+	return c
 }
 
 // DemoAnnouncement is the line that the demo prints when it is ready.
@@ -83,6 +117,17 @@
 	entries      []*Entry
 	platform     *emulator.Platform
 	engines      []*emulator.Engine
+
+	mu sync.Mutex
+	// running are the sidecars that were started, by VM.
+	running map[string]runningSidecar
+	// context is that of the sidecars while Run runs.
+	context context.Context
+}
+
+type runningSidecar struct {
+	stop context.CancelFunc
+	end  chan error
 }
 
 type demoServer struct {
@@ -110,7 +155,8 @@
 
 // NewDemo opens all listeners and assembles the processes.
 func NewDemo(c DemoConfig) (*Demo, error) {
-	d := &Demo{config: c}
+	c.Fleet = c.Fleet.withDefaults()
+	d := &Demo{config: c, running: map[string]runningSidecar{}}
 	for _, step := range []func() error{d.openPlatform, d.openFolder, d.openEndpoints, d.openEntries} {
 		if err := step(); err != nil {
 			d.close()
@@ -137,7 +183,9 @@
 }
 
 func (d *Demo) openPlatform() (err error) {
-	d.platform = emulator.NewPlatform(emulator.PlatformConfig{Weights: emulator.WeightsConfig{Rate: demoLoadRate}})
+	d.platform = emulator.NewPlatform(emulator.PlatformConfig{Weights: emulator.WeightsConfig{
+		Rate: d.config.Fleet.LoadRate, LoadTime: d.config.Fleet.LoadTime,
+	}})
 	d.announcement.Platform, err = d.serve(d.platform.Handler())
 	return err
 }
@@ -149,6 +197,10 @@
 		}
 	}
 	d.announcement.Folder = d.config.Folder
+	if fleet := d.config.Fleet; len(fleet.Files) > 0 {
+		d.announcement.Keys, d.announcement.Routes = fleet.Keys, fleet.Routes
+		return writeFiles(d.config.Folder, fleet.Files)
+	}
 	d.announcement.Keys, err = writeSample(d.config.Folder)
 	d.announcement.Routes = sampleRoutes()
 	return err
@@ -156,15 +208,16 @@
 
 func (d *Demo) common(name string, number int) configurer.Common {
 	return configurer.Common{
-		VM: fmt.Sprintf("%s-%d", name, number+1), FailureDomain: demoDomains[number%len(demoDomains)],
+		VM: fmt.Sprintf("%s-%d", name, number+1), FailureDomain: d.config.Fleet.Domains[number%len(d.config.Fleet.Domains)],
 		Platform: d.announcement.Platform, Secret: secret("demo"), PeerListen: "127.0.0.1:0", LogLevel: "info",
 	}
 }
 
 func (d *Demo) openEndpoints() error {
-	for i := range demoModels {
+	fleet := d.config.Fleet
+	for i := range fleet.Models + fleet.Spares {
 		engine := emulator.NewEngine(emulator.EngineConfig{
-			BaseModel: demoBaseModel, Slots: demoSlots, MaxRunning: demoBatch, StepTime: demoStep,
+			BaseModel: demoBaseModel, Slots: fleet.Slots, MaxRunning: fleet.Batch, StepTime: fleet.StepTime,
 			WeightsURL: d.announcement.Platform, ChecksFence: i%2 == 0,
 		})
 		d.engines = append(d.engines, engine)
@@ -176,15 +229,15 @@
 		s := configurer.Defaults[configurer.Sidecar]()
 		s.Common = d.common("model", i)
 		s.Endpoint.URL, s.Endpoint.BaseModel, s.Endpoint.ChecksFence = url, demoBaseModel, i%2 == 0
-		s.Endpoint.Slots, s.Endpoint.MaxRunning = demoSlots, demoBatch
-		s.Endpoint.TokensPerSecond = float64(demoBatch) * float64(time.Second) / float64(demoStep)
-		if err := d.addSidecar(s); err != nil {
+		s.Endpoint.Slots, s.Endpoint.MaxRunning = fleet.Slots, fleet.Batch
+		s.Endpoint.TokensPerSecond = float64(fleet.Batch) * float64(time.Second) / float64(fleet.StepTime)
+		if err := d.addSidecar(s, i >= fleet.Models); err != nil {
 			return err
 		}
 	}
 	book := emulator.NewLedgerBook()
-	for i := range demoLedgers {
-		url, err := d.serve(emulator.NewLedger(emulator.LedgerConfig{Book: book}).Handler())
+	for i := range fleet.Ledgers {
+		url, err := d.serve(emulator.NewLedger(emulator.LedgerConfig{Book: book, WorkTime: fleet.BookingTime}).Handler())
 		if err != nil {
 			return err
 		}
@@ -194,31 +247,98 @@
 		s := configurer.Defaults[configurer.Sidecar]()
 		s.Common = d.common("ledger", i)
 		s.Endpoint.URL, s.Endpoint.Kind, s.Endpoint.Service = url, "service", demoService
-		if err := d.addSidecar(s); err != nil {
+		if err := d.addSidecar(s, false); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (d *Demo) addSidecar(s configurer.Sidecar) error {
+func (d *Demo) addSidecar(s configurer.Sidecar, spare bool) error {
 	sidecar, err := NewSidecar(s, d.config.Log.With().Str("Vm", s.VM).Logger())
 	if err != nil {
 		return err
 	}
 	d.sidecars = append(d.sidecars, sidecar)
+	if !spare {
+		d.register(sidecar, storer.StateLive)
+	}
+	return nil
+}
+
+func (d *Demo) register(s *Sidecar, state string) {
 	d.platform.VMList.Register(emulator.RegisteredVM{
-		VM: s.VM, Address: sidecar.Address(), FailureDomain: s.FailureDomain, Role: string(wire.DescriptorRoleSidecar), State: "live",
+		VM: s.settings.VM, Address: s.Address(), FailureDomain: s.settings.FailureDomain,
+		Role: string(wire.DescriptorRoleSidecar), State: state,
 	})
+}
+
+// start runs a sidecar until its own context or that of all sidecars ends, and then takes its VM off the list.
+func (d *Demo) start(s *Sidecar) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ctx, stop := context.WithCancel(d.context)
+	end := make(chan error, 1)
+	d.running[s.settings.VM] = runningSidecar{stop: stop, end: end}
+	go func() {
+		err := s.Run(ctx)
+		d.platform.VMList.Remove(s.settings.VM)
+		end <- err
+	}()
+}
+
+func (d *Demo) find(vm string) (s *Sidecar, running bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.sidecars {
+		if s.settings.VM == vm && d.context != nil {
+			_, running = d.running[vm]
+			return s, running, nil
+		}
+	}
+	return nil, false, errors.Newf("the demo runs no sidecar on a VM named %q; name one of its endpoints", vm)
+}
+
+// Arrive lets a spare endpoint join. It may be called while the demo runs.
+func (d *Demo) Arrive(vm string) error {
+	s, running, err := d.find(vm)
+	if err != nil || running {
+		return err
+	}
+	d.register(s, storer.StateLive)
+	d.start(s)
 	return nil
 }
 
+// Leave begins the planned stop of an endpoint's sidecar. It may be called while the demo runs.
+func (d *Demo) Leave(vm string) error {
+	s, running, err := d.find(vm)
+	if err != nil || !running {
+		return err
+	}
+	d.register(s, storer.StateLeaving)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running[vm].stop()
+	return nil
+}
+
+// Engine returns the engine beside a VM's sidecar.
+func (d *Demo) Engine(vm string) (*emulator.Engine, error) {
+	for i, e := range d.engines {
+		if d.sidecars[i].settings.VM == vm {
+			return e, nil
+		}
+	}
+	return nil, errors.Newf("the demo has no model engine on a VM named %q; name one of its endpoints", vm)
+}
+
 func (d *Demo) openEntries() error {
-	for i := range demoEntries {
+	for i := range d.config.Fleet.Entries {
 		s := configurer.Defaults[configurer.Entry]()
 		s.Common = d.common("entry", i)
 		s.Listen = "127.0.0.1:0"
-		s.DrainDelay = d.config.DrainDelay
+		s.DrainDelay, s.LoadRate = d.config.DrainDelay, d.config.Fleet.LoadRate
 		if i == 0 {
 			s.Listen = d.config.Listen
 		}
@@ -249,7 +369,7 @@
 
 	sidecarsCtx, stopSidecars := context.WithCancel(context.Background())
 	defer stopSidecars()
-	sidecarEnds := runAll(sidecarsCtx, d.sidecars)
+	d.startAll(sidecarsCtx)
 	entriesCtx, stopEntries := context.WithCancel(context.Background())
 	defer stopEntries()
 	entryEnds := runAll(entriesCtx, d.entries)
@@ -264,7 +384,7 @@
 	stopEntries()
 	err = errors.Join(err, collect(entryEnds, len(d.entries)))
 	stopSidecars()
-	err = errors.Join(err, collect(sidecarEnds, len(d.sidecars)))
+	err = errors.Join(err, d.collectSidecars())
 	for _, e := range d.engines {
 		e.Close()
 	}
@@ -272,6 +392,37 @@
 	return errors.Join(err, <-standInsEnd, <-watchEnd)
 }
 
+// startAll starts all sidecars but the spares.
+func (d *Demo) startAll(ctx context.Context) {
+	d.mu.Lock()
+	d.context = ctx
+	d.mu.Unlock()
+	first, last := d.config.Fleet.Models, d.config.Fleet.Models+d.config.Fleet.Spares
+	for i, s := range d.sidecars {
+		if i < first || i >= last {
+			d.start(s)
+		}
+	}
+}
+
+// collectSidecars waits for the sidecars that were started and closes the others.
+func (d *Demo) collectSidecars() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.context = nil
+	var all error
+	for _, s := range d.sidecars {
+		r, started := d.running[s.settings.VM]
+		if !started {
+			all = errors.Join(all, s.peers.Close())
+			continue
+		}
+		all = errors.Join(all, <-r.end)
+		r.stop()
+	}
+	return all
+}
+
 type runner interface {
 	Run(ctx context.Context) error
 }
@@ -339,7 +490,7 @@
 			}
 		}
 		shares := len(status.Limits) > 0 && status.Limits[0].Rate > 0
-		if status.Revision == 0 || live < len(d.sidecars) || !shares {
+		if status.Revision == 0 || live < len(d.sidecars)-d.config.Fleet.Spares || !shares {
 			return false
 		}
 	}
--- a/internal/launcher/sample.go
+++ b/internal/launcher/sample.go
@@ -103,10 +103,14 @@
 		return nil, errors.Wrap(err, "encode the sample's keys")
 	}
 	content[sampleKeysFile] = string(text)
+	return keys, writeFiles(folder, content)
+}
+
+func writeFiles(folder string, content map[string]string) error {
 	for name, body := range content {
 		if err := os.WriteFile(filepath.Join(folder, name), []byte(body), 0o600); err != nil {
-			return nil, errors.Wrap(err, "write the sample; name another folder with --folder")
+			return errors.Wrap(err, "write the folder's files; name another folder with --folder")
 		}
 	}
-	return keys, nil
+	return nil
 }
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -599,14 +599,38 @@
 
 // finish counts the end of a call and answers a failure, unless the answer has begun.
 func (r *Router) finish(w http.ResponseWriter, req *http.Request, cl *call, started bool, failure *callError) {
+	r.logEnd(cl, failure)
 	if failure == nil {
 		r.config.Meter.Request(cl.organisation.Name, "ok")
 		return
 	}
-	r.log.Debug().Str("RequestId", cl.id).Str("Outcome", string(failure.outcome)).Str("Code", failure.code).Msg("entry: request failed")
 	if started {
 		r.config.Meter.Request(cl.organisation.Name, string(failure.outcome))
 		return
 	}
 	r.refuse(w, req, cl, failure)
 }
+
+// requestEnded is the message of the line that logEnd logs, which 'trace record' reads.
+const requestEnded = "entry: request ended"
+
+// logEnd logs one line for each admitted or refused call, without key and prompt.
+func (r *Router) logEnd(cl *call, failure *callError) {
+	line := r.log.Debug()
+	if !line.Enabled() {
+		return
+	}
+	kind, outcome, answer := cl.method, "ok", 0
+	if cl.model != nil {
+		kind, answer = "Completion", cl.model.received
+		line = line.Bool("Stream", cl.model.stream)
+	}
+	if failure != nil {
+		outcome = string(failure.outcome)
+		line = line.Str("Code", failure.code)
+	}
+	line.Str("RequestId", cl.id).Int64("ArrivedMs", cl.arrived.UnixMilli()).Str("Kind", kind).
+		Str("Organisation", cl.organisation.Name).Str("Route", cl.route.Name).Bool("Repeatable", cl.repeatable).
+		Int("PromptTokens", cl.promptTokens).Int("AnswerTokens", answer).Int("MaxTokens", cl.answerTokens).
+		Str("Outcome", outcome).Msg(requestEnded)
+}
