--- a/cmd/geraniumladder/main.go
+++ b/cmd/geraniumladder/main.go
@@ -14,6 +14,7 @@
 	"geraniumladder/internal/inspector"
 	"geraniumladder/internal/launcher"
 	"geraniumladder/internal/operator"
+	"geraniumladder/internal/replayer"
 )
 
 func main() {
@@ -28,6 +29,7 @@
 			operator.Config{InForce: inspector.ForOperators}.Commands(),
 			inspector.Commands(),
 			driver.Commands(),
+			replayer.Commands(),
 			[]*cli.Command{emulator.Commands()},
 		),
 	}
