--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -136,7 +136,10 @@
 	server := httptest.NewServer(http.NotFoundHandler())
 	defer server.Close()
 	late := []driver.Request{{Offset: driver.MaxDuration + 1}}
-	_, err = driver.Run(context.Background(), driver.Config{Entries: []string{server.URL}}, slices.Values(late))
+	// Without the bound the run would wait for the offset; the limit only ends the test.
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err = driver.Run(ctx, driver.Config{Entries: []string{server.URL}}, slices.Values(late))
 	assert.ErrorContains(t, err, "use a smaller one")
 	generated := 0
 	for range (driver.Load{
--- a/internal/replayer/make.go
+++ b/internal/replayer/make.go
@@ -169,6 +169,12 @@
 	m.span(m.at(dayAfternoon), m.length, func(at time.Duration) float64 {
 		return min(1, 0.3+float64(m.length-at)/float64(m.length-m.at(dayVMLeaves)))
 	})
+	// A third of the last organisation's requests present the key that is withdrawn, until then.
+	for i, l := range m.lines {
+		if l.IsRequest() && l.Organisation == last && l.Offset() < m.at(dayKeyWithdraw) && l.OffsetMs%3 == 0 {
+			m.lines[i].KeyID = last + "-2"
+		}
+	}
 }
 
 // poisson calls send at the times of a Poisson process.
--- a/internal/replayer/outcomes.go
+++ b/internal/replayer/outcomes.go
@@ -33,6 +33,8 @@
 	// ClaimsRefused counts bookings refused because the store could not take a claim, which are not wrongful.
 	ClaimsRefused int
 	UnloadedInUse int
+	// Loads counts the loads that the weight store started and LoadsRefused those over its rate.
+	Loads, LoadsRefused int
 	// WrongfulCodes counts wrongful refusals by status and code.
 	WrongfulCodes map[string]int
 }
@@ -146,8 +148,8 @@
 	}
 	m := r.Measured
 	if _, err := fmt.Fprintf(out, "Bookings refused while the store was away: %d. Wrongful refusals by code: %v. Worst organisation: %s. "+
-		"Stalls per 1,000 under least loaded, simulated: %s.\nSlowest:\n  %s\n",
-		m.ClaimsRefused, m.WrongfulCodes, m.WorstOrganisation, number(m.StallsLeastLoaded), strings.Join(r.Slowest, "\n  ")); err != nil {
+		"Stalls per 1,000 under least loaded, simulated: %s. Weight store: %d loads, %d refused over its rate.\nSlowest:\n  %s\n",
+		m.ClaimsRefused, m.WrongfulCodes, m.WorstOrganisation, number(m.StallsLeastLoaded), m.Loads, m.LoadsRefused, strings.Join(r.Slowest, "\n  ")); err != nil {
 		return errors.Wrap(err, "write the report")
 	}
 	table := tablewriter.NewTable(out, tablewriter.WithHeaderAutoFormat(tw.Off))
--- a/internal/replayer/replay.go
+++ b/internal/replayer/replay.go
@@ -150,6 +150,8 @@
 	for _, e := range p.demo.Engines() {
 		m.UnloadedInUse += e.Stats().UnloadedInUse
 	}
+	weights := p.demo.Platform().Weights.Stats()
+	m.Loads, m.LoadsRefused = weights.Started, weights.Refused
 	m.refusals(p.config.Trace, p.config.Speed, results)
 	m.fairness(p.config.Trace, p.config.Speed, results)
 	return Report{Verdicts: p.config.Outcomes.Verdicts(m), Measured: m, Summary: summary, Slowest: slowest(results)}, nil
