--- a/cmd/geraniumladder/main.go
+++ b/cmd/geraniumladder/main.go
@@ -9,10 +9,12 @@
 
 	"github.com/urfave/cli/v3"
 
+	"geraniumladder/internal/driver"
 	"geraniumladder/internal/emulator"
 	"geraniumladder/internal/inspector"
 	"geraniumladder/internal/launcher"
 	"geraniumladder/internal/operator"
+	"geraniumladder/internal/replayer"
 )
 
 func main() {
@@ -26,6 +28,8 @@
 			launcher.Commands(),
 			operator.Config{InForce: inspector.ForOperators}.Commands(),
 			inspector.Commands(),
+			driver.Commands(),
+			replayer.Commands(),
 			[]*cli.Command{emulator.Commands()},
 		),
 	}
--- a/internal/launcher/demo.go
+++ b/internal/launcher/demo.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -49,16 +50,44 @@
 	Log    zerolog.Logger
 	// DrainDelay is how long the entries serve on after a planned stop was asked for.
 	DrainDelay time.Duration
-	// Slots is the number of adapters that an engine holds; demoSlots when 0.
-	Slots int
+	Fleet      FleetConfig
 	// LeaseTTL is the time to live of an endpoint's lease; that of the settings when 0.
 	LeaseTTL time.Duration
-	// WorkTime is how long a ledger takes for a booking.
-	WorkTime time.Duration
 	// WrapEngine and WrapLedger, if set, replace the handler of the stand-in with the given index.
 	WrapEngine, WrapLedger func(index int, handler http.Handler) http.Handler
 }
 
+// FleetConfig is the size of the demo's fleet. A zero field has the demo's default.
+type FleetConfig struct {
+	Entries, Models, Ledgers int
+	// Spares are further model endpoints that join with Arrive.
+	Spares int
+	// Slots and Batch are the adapters and requests that an engine holds at once.
+	Slots, Batch int
+	// StepTime is the time in which an engine generates one token for each running request.
+	StepTime time.Duration
+	// LoadRate is the number of adapter loads a second that the weight store allows, LoadTime the time of one.
+	LoadRate float64
+	LoadTime time.Duration
+	Domains  []string
+	// BookingTime is how long a booking takes at a ledger.
+	BookingTime time.Duration
+	// Files are written to an empty folder instead of the sample; Keys and Routes are then announced.
+	Files  map[string]string
+	Keys   map[string]string
+	Routes DemoRoutes
+}
+
+func (c FleetConfig) withDefaults() FleetConfig {
+	c.Entries, c.Models, c.Ledgers = cmp.Or(c.Entries, demoEntries), cmp.Or(c.Models, demoModels), cmp.Or(c.Ledgers, demoLedgers)
+	c.Slots, c.Batch, c.StepTime = cmp.Or(c.Slots, demoSlots), cmp.Or(c.Batch, demoBatch), cmp.Or(c.StepTime, demoStep)
+	c.LoadRate = cmp.Or(c.LoadRate, demoLoadRate)
+	if len(c.Domains) == 0 {
+		c.Domains = demoDomains
+	}
+	return c
+}
+
 // DemoAnnouncement is the line that the demo prints when it is ready.
 type DemoAnnouncement struct {
 	Entries  []string
@@ -98,7 +127,7 @@
 	entries  []*demoProcess[*Entry]
 }
 
-// demoProcess is one process of the demo and how it is stopped.
+// demoProcess is one process of the demo and how it is stopped. One that has not been started has no stop.
 type demoProcess[T runner] struct {
 	process T
 	stop    context.CancelFunc
@@ -209,9 +238,7 @@
 
 // NewDemo opens all listeners and assembles the processes.
 func NewDemo(c DemoConfig) (*Demo, error) {
-	if c.Slots == 0 {
-		c.Slots = demoSlots
-	}
+	c.Fleet = c.Fleet.withDefaults()
 	d := &Demo{config: c}
 	for _, step := range []func() error{d.openPlatform, d.openFolder, d.openEndpoints, d.openEntries} {
 		if err := step(); err != nil {
@@ -239,7 +266,9 @@
 }
 
 func (d *Demo) openPlatform() (err error) {
-	d.platform = emulator.NewPlatform(emulator.PlatformConfig{Weights: emulator.WeightsConfig{Rate: demoLoadRate}})
+	d.platform = emulator.NewPlatform(emulator.PlatformConfig{Weights: emulator.WeightsConfig{
+		Rate: d.config.Fleet.LoadRate, LoadTime: d.config.Fleet.LoadTime,
+	}})
 	d.announcement.Platform, err = d.serve(d.platform.Handler())
 	return err
 }
@@ -251,6 +280,10 @@
 		}
 	}
 	d.announcement.Folder = d.config.Folder
+	if fleet := d.config.Fleet; len(fleet.Files) > 0 {
+		d.announcement.Keys, d.announcement.Routes = fleet.Keys, fleet.Routes
+		return writeFiles(d.config.Folder, fleet.Files)
+	}
 	d.announcement.Keys, err = writeSample(d.config.Folder)
 	d.announcement.Routes = sampleRoutes()
 	return err
@@ -258,15 +291,16 @@
 
 func (d *Demo) common(name string, number int) configurer.Common {
 	return configurer.Common{
-		VM: fmt.Sprintf("%s-%d", name, number+1), FailureDomain: demoDomains[number%len(demoDomains)],
+		VM: fmt.Sprintf("%s-%d", name, number+1), FailureDomain: d.config.Fleet.Domains[number%len(d.config.Fleet.Domains)],
 		Platform: d.announcement.Platform, Secret: secret("demo"), PeerListen: "127.0.0.1:0", LogLevel: "info",
 	}
 }
 
 func (d *Demo) openEndpoints() error {
-	for i := range demoModels {
+	fleet := d.config.Fleet
+	for i := range fleet.Models + fleet.Spares {
 		engine := emulator.NewEngine(emulator.EngineConfig{
-			BaseModel: demoBaseModel, Slots: d.config.Slots, MaxRunning: demoBatch, StepTime: demoStep,
+			BaseModel: demoBaseModel, Slots: fleet.Slots, MaxRunning: fleet.Batch, StepTime: fleet.StepTime,
 			WeightsURL: d.announcement.Platform, ChecksFence: i%2 == 0,
 		})
 		d.engines = append(d.engines, engine)
@@ -278,15 +312,15 @@
 		s := configurer.Defaults[configurer.Sidecar]()
 		s.Common = d.common("model", i)
 		s.Endpoint.URL, s.Endpoint.BaseModel, s.Endpoint.ChecksFence = url, demoBaseModel, i%2 == 0
-		s.Endpoint.Slots, s.Endpoint.MaxRunning = d.config.Slots, demoBatch
-		s.Endpoint.TokensPerSecond = float64(demoBatch) * float64(time.Second) / float64(demoStep)
-		if err := d.addSidecar(s); err != nil {
+		s.Endpoint.Slots, s.Endpoint.MaxRunning = fleet.Slots, fleet.Batch
+		s.Endpoint.TokensPerSecond = float64(fleet.Batch) * float64(time.Second) / float64(fleet.StepTime)
+		if err := d.addSidecar(s, i >= fleet.Models); err != nil {
 			return err
 		}
 	}
 	book := emulator.NewLedgerBook()
-	for i := range demoLedgers {
-		ledger := emulator.NewLedger(emulator.LedgerConfig{Book: book, WorkTime: d.config.WorkTime})
+	for i := range fleet.Ledgers {
+		ledger := emulator.NewLedger(emulator.LedgerConfig{Book: book, WorkTime: fleet.BookingTime})
 		d.ledgers = append(d.ledgers, ledger)
 		url, err := d.serve(wrapped(d.config.WrapLedger, i, ledger.Handler()))
 		if err != nil {
@@ -298,7 +332,7 @@
 		s := configurer.Defaults[configurer.Sidecar]()
 		s.Common = d.common("ledger", i)
 		s.Endpoint.URL, s.Endpoint.Kind, s.Endpoint.Service = url, "service", demoService
-		if err := d.addSidecar(s); err != nil {
+		if err := d.addSidecar(s, false); err != nil {
 			return err
 		}
 	}
@@ -312,7 +346,7 @@
 	return wrap(index, handler)
 }
 
-func (d *Demo) addSidecar(s configurer.Sidecar) error {
+func (d *Demo) addSidecar(s configurer.Sidecar, spare bool) error {
 	if d.config.LeaseTTL > 0 {
 		s.LeaseTTL = d.config.LeaseTTL
 	}
@@ -321,18 +355,78 @@
 		return err
 	}
 	d.sidecars = append(d.sidecars, &demoProcess[*Sidecar]{process: sidecar})
+	if !spare {
+		d.register(sidecar, storer.StateLive)
+	}
+	return nil
+}
+
+func (d *Demo) register(s *Sidecar, state string) {
 	d.platform.VMList.Register(emulator.RegisteredVM{
-		VM: s.VM, Address: sidecar.Address(), FailureDomain: s.FailureDomain, Role: string(wire.DescriptorRoleSidecar), State: "live",
+		VM: s.settings.VM, Address: s.Address(), FailureDomain: s.settings.FailureDomain,
+		Role: string(wire.DescriptorRoleSidecar), State: state,
 	})
+}
+
+// Arrive lets a spare endpoint join. It may be called while the demo runs.
+func (d *Demo) Arrive(vm string) error {
+	index, err := d.find(vm)
+	if err != nil {
+		return err
+	}
+	p := at(&d.mu, &d.sidecars, index)
+	if p.stop != nil {
+		return errors.Newf("the sidecar of %s runs already; name a spare endpoint", vm)
+	}
+	d.register(p.process, storer.StateLive)
+	replace(&d.mu, &d.sidecars, index, start(p.process))
 	return nil
 }
 
+// Leave begins the planned stop of an endpoint's sidecar, whose VM is off the list when it has ended. It may be called
+// while the demo runs.
+func (d *Demo) Leave(vm string) error {
+	index, err := d.find(vm)
+	if err != nil {
+		return err
+	}
+	p := at(&d.mu, &d.sidecars, index)
+	if p.stop == nil {
+		return errors.Newf("the sidecar of %s does not run; name a live endpoint", vm)
+	}
+	d.register(p.process, storer.StateLeaving)
+	p.stop()
+	go func() {
+		<-p.ended
+		d.platform.VMList.Remove(vm)
+	}()
+	return nil
+}
+
+func (d *Demo) find(vm string) (index int, err error) {
+	for i, s := range d.Sidecars() {
+		if s.settings.VM == vm {
+			return i, nil
+		}
+	}
+	return 0, errors.Newf("the demo has no sidecar on a VM named %q; name one of its endpoints", vm)
+}
+
+// Engine returns the engine beside a VM's sidecar.
+func (d *Demo) Engine(vm string) (*emulator.Engine, error) {
+	index, err := d.find(vm)
+	if err != nil || index >= len(d.engines) {
+		return nil, errors.Newf("the demo has no model engine on a VM named %q; name one of its endpoints", vm)
+	}
+	return d.engines[index], nil
+}
+
 func (d *Demo) openEntries() error {
-	for i := range demoEntries {
+	for i := range d.config.Fleet.Entries {
 		s := configurer.Defaults[configurer.Entry]()
 		s.Common = d.common("entry", i)
 		s.Listen = "127.0.0.1:0"
-		s.DrainDelay = d.config.DrainDelay
+		s.DrainDelay, s.LoadRate = d.config.DrainDelay, d.config.Fleet.LoadRate
 		if i == 0 {
 			s.Listen = d.config.Listen
 		}
@@ -361,7 +455,9 @@
 	standInsEnd := make(chan error, 1)
 	go func() { standInsEnd <- standIns.Run() }()
 
-	startAll(&d.mu, d.sidecars)
+	firstSpare := d.config.Fleet.Models
+	startAll(&d.mu, d.sidecars[:firstSpare])
+	startAll(&d.mu, d.sidecars[firstSpare+d.config.Fleet.Spares:])
 	startAll(&d.mu, d.entries)
 	watchEnd := make(chan error, 1)
 	go func() { watchEnd <- d.watch(ctx) }()
@@ -376,10 +472,22 @@
 	for _, e := range d.engines {
 		e.Close()
 	}
+	d.closeSpares()
 	stopStandIns()
 	return errors.Join(err, <-standInsEnd, <-watchEnd)
 }
 
+// closeSpares closes the listeners of the sidecars that were never started.
+func (d *Demo) closeSpares() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.sidecars {
+		if p.stop == nil {
+			_ = p.process.peers.Close()
+		}
+	}
+}
+
 type runner interface {
 	Run(ctx context.Context) error
 }
@@ -395,7 +503,12 @@
 // stopAll asks all processes to stop before it waits for the first.
 func stopAll[T runner](mu *sync.Mutex, all *[]*demoProcess[T]) error {
 	mu.Lock()
-	running := append([]*demoProcess[T](nil), *all...)
+	var running []*demoProcess[T]
+	for _, p := range *all {
+		if p.stop != nil {
+			running = append(running, p)
+		}
+	}
 	mu.Unlock()
 	for _, p := range running {
 		p.stop()
@@ -454,7 +567,7 @@
 			}
 		}
 		shares := len(status.Limits) > 0 && status.Limits[0].Rate > 0
-		if status.Revision == 0 || live < demoModels+demoLedgers || !shares {
+		if status.Revision == 0 || live < d.config.Fleet.Models+d.config.Fleet.Ledgers || !shares {
 			return false
 		}
 	}
--- a/internal/launcher/faults_test.go
+++ b/internal/launcher/faults_test.go
@@ -88,7 +88,7 @@
 func newFaultWorld(t *testing.T, seed uint64) *faultWorld {
 	w := &faultWorld{seed: seed, bookings: map[string]*asked{}, runs: map[string][]engineRun{}, begun: map[string]time.Time{}, notRun: map[string]string{}}
 	w.fleet = startFleetWith(t, launcher.DemoConfig{
-		Slots: 2, WorkTime: 10 * time.Millisecond, LeaseTTL: 3 * time.Second,
+		Fleet: launcher.FleetConfig{Slots: 2, BookingTime: 10 * time.Millisecond}, LeaseTTL: 3 * time.Second,
 		WrapEngine: func(engine int, next http.Handler) http.Handler { return w.recordRuns(engine, next) },
 	})
 	w.client = &http.Client{Timeout: askLimit, Transport: &http.Transport{DisableKeepAlives: true}}
