lender: join the epoch only once the platform lists the VM

A member that no process had seen listed was dropped after 100 lists without it, which is weaker proof of its end than the promise of limits needs.

--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -46,7 +46,7 @@
 	// may be served by a replica of the platform that lags.
 	goneLists = 2
 	// neverLists is that number for a member that this process has never seen on the list: five minutes, far beyond
-	// the list's lag. Without it the shares of entries that ended while the store was unavailable would stay unused
+	// the list's lag. The member itself saw its VM listed before it joined. Without it the shares of entries that ended while the store was unavailable would stay unused
 	// for ever once every process that saw them listed has been replaced.
 	neverLists = 100
 	// reachableRounds is the number of rounds of exchanges after which a silent peer is not reachable.
@@ -177,6 +177,9 @@
 	row      wire.EpochRow
 	accounts map[string]*account
 	peers    map[string]*peer
+	// selfListed is set once the platform's list has had this VM. An entry joins the epoch only then, so that every
+	// member was on the list, and a member that is missing from it has gone.
+	selfListed bool
 	// listed has the addresses of the other entries on the platform's list, by VM.
 	listed map[string]string
 	// missing counts the lists in a row without a VM; at goneLists the VM has ended.
@@ -772,7 +775,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.learn(row, l.now())
-	l.config.Log.Info().Int64("epoch", row.Epoch).Int("members", len(members)).Msg("entry: The epoch has changed.")
+	l.config.Log.Info().Int64("Epoch", row.Epoch).Int("Members", len(members)).Msg("entry: epoch changed")
 	return nil
 }
 
@@ -795,7 +798,7 @@
 			members = append(members, m)
 		}
 	}
-	if !member && !l.leaving && l.config.State() != string(wire.EntryExchangeStateLeaving) {
+	if !member && l.selfListed && !l.leaving && l.config.State() != string(wire.EntryExchangeStateLeaving) {
 		members = append(members, l.config.Self)
 	}
 	return members
--- a/internal/lender/peers.go
+++ b/internal/lender/peers.go
@@ -261,6 +261,10 @@
 			l.meet(vm.Address, now)
 		}
 	}
+	if self && !l.selfListed {
+		l.selfListed = true
+		l.wantRow()
+	}
 	// A list without this VM, which runs, is no proof that others have ended.
 	if !self && len(l.row.Members) > 0 {
 		return errors.New("the list of VMs does not have this VM; its absences are not counted")
