dispatcher: do not answer the copy of an accepted run as not run

Cause: a leaving or starting sidecar refused each run message as not run before it looked whether the run had been accepted; the copy of a message whose first arrival runs would have been refused falsely. Ruled out: the guard, which answers Running, but its answer was dropped. Change: the copy of an accepted message is given that run's answer. Before and after: found by reading; HTTP/2 clients send a message twice only when the server has not begun it.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -218,6 +218,10 @@
 	now := d.elapsed()
 	key := guardKey(h)
 	if refusal := d.refusal(h); refusal != nil {
+		if r, known := d.runs[key]; known && h.Incarnation == d.incarnation {
+			// A copy of a message that was accepted before must not be answered as not run.
+			return r, nil
+		}
 		// A copy of the message must not run later, since this one is answered as not run.
 		d.guard, _ = d.guard.Void(key, now)
 		return nil, refusal
