dispatcher: name attempts apart at the engine

Cause: attempts of one request had the same ID at the engine. When a request came back to an engine that still ran its earlier attempt, the cancel of the earlier one ended the later one and dropped the earlier one's pin, so that its adapter could be unloaded in use. Ruled out: the pins, which are named by attempt. Change: later attempts have a prefix at the engine, which the sidecar takes off the answer again.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -490,7 +490,7 @@
 // It stops early when a report of the engine's residents has reset the slots.
 func (d *Dispatcher) confirmEnd(ctx context.Context, r *run) {
 	for {
-		err := d.engine.cancel(r.header.RequestID)
+		err := d.engine.cancel(engineID(r.header))
 		d.mu.Lock()
 		_, pinned := d.slots.Pinned(r.key)
 		if err == nil || !pinned {
--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -262,7 +262,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	opened := time.AfterFunc(r.headerLimit(), cancel)
-	resp, err := r.engine.stream(ctx, r.header.RequestID, path, body, r.last)
+	resp, err := r.engine.stream(ctx, engineID(r.header), path, body, r.last)
 	opened.Stop()
 	if err != nil {
 		if r.last < 0 && isDialError(err) {
@@ -356,16 +356,29 @@
 	if err := json.Unmarshal(ev.raw, &head); err != nil {
 		return r.fail(wire.RunErrorCodeEngineFailed, "the engine sent a malformed event; retry the request"), false
 	}
-	if head.Model != r.model || !strings.HasSuffix(head.ID, r.header.RequestID) {
+	if head.Model != r.model || !strings.HasSuffix(head.ID, engineID(r.header)) {
 		return r.fail(wire.RunErrorCodeWrongModel,
 			fmt.Sprintf("the engine answered as %q for request %q; retry the request", head.Model, head.ID)), false
 	}
+	if r.header.Attempt > 1 {
+		// The caller's answer has one ID, whichever attempts it came from.
+		ev.raw = bytes.Replace(ev.raw, []byte(engineID(r.header)), []byte(r.header.RequestID), 1)
+	}
 	chunk := make([]byte, 0, len(ev.raw)+32)
 	chunk = fmt.Appendf(chunk, "id: %d\ndata: %s\n\n", r.last, ev.raw)
 	r.out.write(chunk)
 	return nil, false
 }
 
+// engineID names an attempt at the engine. An earlier attempt of the same request may still run there, so under a common
+// ID a resume could read, and a cancel could end, the wrong one.
+func engineID(header wire.RunHeader) string {
+	if header.Attempt <= 1 {
+		return header.RequestID
+	}
+	return fmt.Sprintf("attempt-%d-%s", header.Attempt, header.RequestID)
+}
+
 // isDialError says that no connection was opened, so that nothing can have been sent.
 func isDialError(err error) bool {
 	var op *net.OpError
--- a/internal/launcher/faults_test.go
+++ b/internal/launcher/faults_test.go
@@ -121,7 +121,9 @@
 			rw = &runWriter{ResponseWriter: rw, begun: func() {
 				w.mu.Lock()
 				defer w.mu.Unlock()
+				// Later attempts have a prefix before the request's ID.
 				id := req.Header.Get("X-Request-Id")
+				id = id[max(0, strings.LastIndex(id, "req-")):]
 				w.runs[id] = append(w.runs[id], engineRun{engine, time.Now()})
 			}}
 		}
