--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -229,6 +229,10 @@
 	now := d.elapsed()
 	key := guardKey(h)
 	if refusal := d.refusal(h); refusal != nil {
+		if r, known := d.runs[key]; known && h.Incarnation == d.incarnation {
+			// A copy of a message that was accepted before must not be answered as not run.
+			return r, nil
+		}
 		// A copy of the message must not run later, since this one is answered as not run.
 		d.guard, _ = d.guard.Void(key, now)
 		return nil, refusal
@@ -509,7 +513,7 @@
 // It stops early when a report of the engine's residents has reset the slots.
 func (d *Dispatcher) confirmEnd(ctx context.Context, r *run) {
 	for {
-		err := d.engine.cancel(r.header.RequestID)
+		err := d.engine.cancel(engineID(r.header))
 		d.mu.Lock()
 		_, pinned := d.slots.Pinned(r.key)
 		if err == nil || !pinned {
