lender: permit adapter loads in order, and as many at once as the weight store gives

Cause: a request for a load permit took a free token before those that waited, and the budget's burst was the number of loads in flight (8) while the weight store refuses more than one second's rate. Ruled out: the queue at the sidecar (the slowest requests had not been dispatched yet). Change: permits are given strictly in order; the burst is one second of LoadRate.

--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -92,7 +92,8 @@
 	ExchangeEvery time.Duration
 	// AdmissionWait is how long a request may wait for tokens, from 0 (not at all) to MaxAdmissionWait.
 	AdmissionWait time.Duration
-	// LoadRate is the number of adapter loads a second over the whole fleet; DefaultLoadRate when 0.
+	// LoadRate is the number of adapter loads a second over the whole fleet; DefaultLoadRate when 0. Loads of one second
+	// may come at once: weight stores refuse more, whatever is in flight.
 	LoadRate float64
 	// LoadsInFlight bounds the loads at one time over the whole fleet; DefaultLoadsInFlight when 0.
 	LoadsInFlight int
@@ -243,7 +244,7 @@
 		ended: make(chan struct{}), readRow: make(chan struct{}, 1), borrowed: make(chan struct{}, 1),
 	}
 	l.epoch = limiter.NewEpoch(limiter.EpochConfig{Self: l.self, GrantLife: c.Policy.GrantLife})
-	l.accounts[loads] = l.newAccount(limiter.Config{Rate: c.LoadRate, Burst: float64(c.LoadsInFlight)})
+	l.accounts[loads] = l.newAccount(limiter.Config{Rate: c.LoadRate, Burst: max(1, c.LoadRate)})
 	return l, nil
 }
 
@@ -378,7 +379,12 @@
 	l.next++
 	id := strconv.FormatUint(l.next, 10)
 	a.Account = a.WithDemand(tokens, now)
-	d := l.try(a, organisation, id, tokens, now)
+	var d limiter.Decision
+	// Loads are permitted strictly in order: they are few, and a request that came later would otherwise take the
+	// next token each time. For organisations, a large request that waits does not hold up small ones.
+	if organisation != loads || len(a.waiters) == 0 {
+		d = l.try(a, organisation, id, tokens, now)
+	}
 	if d.Admitted {
 		l.borrow(a, organisation, now)
 		l.mutex.Unlock()
