--- a/cmd/geraniumladder/main.go
+++ b/cmd/geraniumladder/main.go
@@ -13,6 +13,7 @@
 	"geraniumladder/internal/inspector"
 	"geraniumladder/internal/launcher"
 	"geraniumladder/internal/operator"
+	"geraniumladder/internal/reporter"
 )
 
 func main() {
@@ -26,6 +27,7 @@
 			launcher.Commands(),
 			operator.Config{InForce: inspector.ForOperators}.Commands(),
 			inspector.Commands(),
+			reporter.Commands(),
 			[]*cli.Command{emulator.Commands()},
 		),
 	}
--- a/internal/launcher/demo.go
+++ b/internal/launcher/demo.go
@@ -35,6 +35,8 @@
 	demoBaseModel  = "base"
 	demoService    = "ledger"
 	demoReadyLimit = 30 * time.Second
+	// demoBurnEvery makes a demo's burn report show requests soon after they were sent.
+	demoBurnEvery = 5 * time.Second
 )
 
 var demoDomains = []string{"domain-a", "domain-b", "domain-c"}
@@ -226,6 +228,7 @@
 		if err != nil {
 			return err
 		}
+		entry.recorder = entry.newRecorder(demoBurnEvery)
 		d.entries = append(d.entries, entry)
 		d.announcement.Entries = append(d.announcement.Entries, entry.URL())
 		d.platform.VMList.Register(emulator.RegisteredVM{
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -23,6 +23,7 @@
 	"geraniumladder/internal/merger"
 	"geraniumladder/internal/messenger"
 	"geraniumladder/internal/meter"
+	"geraniumladder/internal/reporter"
 	"geraniumladder/internal/router"
 	"geraniumladder/internal/storer"
 	"geraniumladder/internal/wire"
@@ -52,6 +53,9 @@
 	callers  net.Listener
 	peers    net.Listener
 	router   *router.Router
+	// share returns the tokens a second that the entry owns of an organisation's rate.
+	share    func(organisation string) (float64, bool)
+	recorder *reporter.Recorder
 	common
 }
 
@@ -139,9 +143,30 @@
 		Messenger: base.messenger, Signer: base.signer, Follower: follower, Lender: loans, Meter: base.meter, Log: log,
 		Seed: uint64(time.Now().UnixNano()),
 	})
+	e.share = func(name string) (float64, bool) {
+		organisation, known := follower.Current().Organisation(name)
+		return organisation.Rate / float64(len(loans.Entries())), known
+	}
+	e.recorder = e.newRecorder(reporter.DefaultEvery)
 	return e, nil
 }
 
+func (e *Entry) newRecorder(every time.Duration) *reporter.Recorder {
+	return reporter.NewRecorder(reporter.RecorderConfig{
+		Table: e.platform, VM: e.settings.VM, Gather: e.meter.Totals, Share: e.share, Every: every, Now: time.Now, Log: e.log,
+	})
+}
+
+// stop is the planned stop. The burn rows are written once more when the last request has ended; without the store
+// the events since the last write are lost, as they are with the VM.
+func (e *Entry) stop(ctx context.Context) error {
+	err := e.router.Drain(ctx)
+	if failure := e.recorder.Record(ctx); failure != nil {
+		e.log.Warn().Msg("entry: last burn rows not written: " + failure.Error())
+	}
+	return err
+}
+
 // URL is the entry's address for callers.
 func (e *Entry) URL() string { return "http://" + e.callers.Addr().String() }
 
@@ -157,7 +182,8 @@
 	addServer(&g, messenger.NewServer(messenger.ServerConfig{Handler: e.router.Handler(), HTTP1: true}), e.callers)
 	addServer(&g, messenger.NewServer(messenger.ServerConfig{Handler: e.router.PeerHandler(), HTTP1: true}), e.peers)
 	addWork(&g, e.router.Run)
-	e.addStop(ctx, &g, e.settings.StopTimeout, e.router.Drain)
+	addWork(&g, e.recorder.Run)
+	e.addStop(ctx, &g, e.settings.StopTimeout, e.stop)
 	e.log.Info().Str("Callers", e.URL()).Str("Peers", e.advertise).Msg("entry: started")
 	return e.finish(g.Run())
 }
