--- a/internal/reporter/recorder.go
+++ b/internal/reporter/recorder.go
@@ -279,10 +279,10 @@
 // callerCodes are the codes of docs/callers.md with a status below 500. Every other code counts against availability,
 // so that a code missing here shows up in the report.
 var callerCodes = []string{
-	"bad_json", "bad_field", "no_model", "no_prompt", "no_messages", "bad_max_tokens", "broken_body", "key_in_request",
+	"bad_json", "bad_request", "bad_field", "no_model", "no_prompt", "no_messages", "bad_max_tokens", "broken_body", "key_in_request",
 	"bad_path", "bad_idempotency_key", "rejected_by_endpoint", "invalid_api_key", "key_withdrawn", "route_not_allowed",
 	"no_such_route", "no_such_service", "no_target", "no_such_page", "settled_ran", "answer_not_kept", "claim_contended",
-	"over_burst", "body_too_large", "idempotency_key_reused", "rate_limit_exceeded",
+	"over_burst", "body_too_large", "idempotency_key_reused", "rate_limit_exceeded", "caller_gone",
 }
 
 // limitCodes are the refusals that are wrongful when the organisation is within its rate.
