--- a/internal/reporter/page.go
+++ b/internal/reporter/page.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"html/template"
 	"image/color"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,11 +62,15 @@
 		last.Lines = append(last.Lines, l)
 	}
 	for i := range groups {
+		// In the order of names, an objective has the same colour for each organisation.
+		lines := slices.SortedFunc(slices.Values(groups[i].Lines), func(a, b Line) int {
+			return strings.Compare(a.Objective.Name, b.Objective.Name)
+		})
 		var err error
-		if groups[i].Burn, err = burnPlot(groups[i].Lines); err != nil {
+		if groups[i].Burn, err = burnPlot(lines); err != nil {
 			return nil, err
 		}
-		if groups[i].Good, err = goodPlot(groups[i].Lines, r.Now); err != nil {
+		if groups[i].Good, err = goodPlot(lines, r.Now); err != nil {
 			return nil, err
 		}
 	}
@@ -98,7 +104,9 @@
 		p.Add(line)
 	}
 	p.NominalX("5m", "1h", "6h", "3d")
-	p.Y.Max = max(p.Y.Max, PageBurn*1.1)
+	// Leaves room for the legend above the bars, and for the outer bars beside the axis.
+	p.Y.Max = max(p.Y.Max, PageBurn) * 1.4
+	p.X.Min, p.X.Max = -0.5, windowCount-0.5
 	return svg(p)
 }
 
@@ -107,15 +115,14 @@
 	p := plot.New()
 	p.Title.Text, p.Y.Label.Text = "Good events over time", "share of good events"
 	p.X.Label.Text = "hours before the report"
-	p.Y.Min, p.Y.Max = 0, 1
-	p.Legend.Top = false
+	lowest := 0.9
 	for i, l := range lines {
 		points := plotter.XYs{}
 		for _, point := range l.Points {
 			if point.Total > 0 {
-				points = append(points, plotter.XY{
-					X: -now.Sub(point.Start).Hours(), Y: float64(point.Good) / float64(point.Total),
-				})
+				good := float64(point.Good) / float64(point.Total)
+				lowest = min(lowest, good)
+				points = append(points, plotter.XY{X: -now.Sub(point.Start).Hours(), Y: good})
 			}
 		}
 		if len(points) == 0 {
@@ -126,12 +133,12 @@
 			return "", errors.Wrap(err, "plot the good events")
 		}
 		line.Color, marks.Color = plotutil.Color(i), plotutil.Color(i)
-		marks.Shape = draw.CircleGlyph{}
+		marks.Shape, marks.Radius = draw.CircleGlyph{}, vg.Points(1)
 		p.Add(line, marks)
 		p.Legend.Add(l.Objective.Name, line)
 	}
 	p.X.Max = 0
-	p.Y.Min, p.Y.Max = 0, 1.05
+	p.Y.Min, p.Y.Max = lowest, 1+(1-lowest)/20
 	// Without any point the axis has no left end.
 	if !(p.X.Min < p.X.Max) {
 		p.X.Min = -1
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -211,20 +211,22 @@
 	}
 }
 
-// Guards against rows that stay forever, also those of a lost VM, and against a deleted row within the window.
+// Guards against rows that stay forever, also those of a lost VM, against entries that contend for one another's rows,
+// and against a deleted row within the window.
 func TestRecorderDeletesExpiredRows(t *testing.T) {
 	ctx, f := context.Background(), newFixture()
 	for _, key := range []string{
 		reporter.SortKey(start.Add(-73*time.Hour), "a", "vm1"), reporter.SortKey(start.Add(-80*time.Hour), "a", "lost"),
-		reporter.SortKey(start.Add(-72*time.Hour), "a", "vm1"),
+		reporter.SortKey(start.Add(-73*time.Hour), "a", "vm2"), reporter.SortKey(start.Add(-72*time.Hour), "a", "vm1"),
 	} {
 		assert.NilError(t, f.table.Put(ctx, storer.Row{Pk: "burn", Sk: key, Data: []byte("{}")}, 0))
 	}
 	assert.NilError(t, f.recorder(nil).Record(ctx))
 	rows, err := f.table.Query(ctx, "burn", "", 0)
 	assert.NilError(t, err)
-	assert.Equal(t, len(rows), 1)
-	assert.Equal(t, rows[0].Sk, reporter.SortKey(start.Add(-72*time.Hour), "a", "vm1"))
+	assert.Equal(t, len(rows), 2)
+	assert.Equal(t, rows[0].Sk, reporter.SortKey(start.Add(-73*time.Hour), "a", "vm2"))
+	assert.Equal(t, rows[1].Sk, reporter.SortKey(start.Add(-72*time.Hour), "a", "vm1"))
 }
 
 // Guards against a refusal over the rate that counts as wrongful, and against a caller's fault that counts
