--- a/cmd/geraniumladder/main.go
+++ b/cmd/geraniumladder/main.go
@@ -15,6 +15,7 @@
 	"geraniumladder/internal/launcher"
 	"geraniumladder/internal/operator"
 	"geraniumladder/internal/replayer"
+	"geraniumladder/internal/reporter"
 )
 
 func main() {
@@ -30,6 +31,7 @@
 			inspector.Commands(),
 			driver.Commands(),
 			replayer.Commands(),
+			reporter.Commands(),
 			[]*cli.Command{emulator.Commands()},
 		),
 	}
