--- a/internal/applier/capacity_test.go
+++ b/internal/applier/capacity_test.go
@@ -69,7 +69,7 @@
 	defer func() {
 		client.Close()
 		_ = server.Close()
-		_ = <-ended
+		assert.ErrorIs(b, <-ended, http.ErrServerClosed)
 	}()
 	c := applier.Config{Table: client, Objects: client}
 	var files []merger.File
--- a/internal/launcher/capacity_test.go
+++ b/internal/launcher/capacity_test.go
@@ -106,7 +106,7 @@
 	go func() { ended <- d.Run(ctx, io.Discard) }()
 	defer func() {
 		cancel()
-		_ = <-ended
+		assert.NilError(b, <-ended)
 	}()
 	for !d.Ready() {
 		time.Sleep(10 * time.Millisecond)
--- a/internal/router/capacity_test.go
+++ b/internal/router/capacity_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -180,7 +181,9 @@
 			}
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(b, err)
-			server := messenger.NewServer(messenger.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := messenger.NewServer(messenger.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				// An answer before the end of the body makes the client send only a part of it.
+				_, _ = io.Copy(io.Discard, req.Body)
 				w.Header().Set("Content-Type", "application/json")
 				_ = json.NewEncoder(w).Encode(reply)
 			})})
@@ -209,11 +212,42 @@
 			b.ReportMetric(float64(len(text)), "jsonB")
 			m.Close()
 			_ = server.Close()
-			_ = <-ended
+			assert.ErrorIs(b, <-ended, http.ErrServerClosed)
 		})
 	}
 }
 
+// BenchmarkIdleConnection reports the bytes a second that the pings of both ends take on a connection without messages.
+func BenchmarkIdleConnection(b *testing.B) {
+	const idle = 5 * time.Second
+	signer, err := authenticator.New(authenticator.Config{Secret: strings.Repeat("s", 16)})
+	assert.NilError(b, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	server := messenger.NewServer(messenger.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = w.Write([]byte("{}"))
+	})})
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	var sent, received atomic.Int64
+	m := messenger.New(messenger.Config{Signer: signer, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countingConn{c, &sent, &received}, err
+	}})
+	for b.Loop() {
+		assert.NilError(b, m.Call(context.Background(), listener.Addr().String(), dispatcher.HeartbeatPath, beat(0, 1), nil))
+		sent.Store(0)
+		received.Store(0)
+		time.Sleep(idle)
+	}
+	b.ReportMetric(float64(sent.Load())/idle.Seconds(), "sentB/s")
+	b.ReportMetric(float64(received.Load())/idle.Seconds(), "receivedB/s")
+	m.Close()
+	_ = server.Close()
+	assert.ErrorIs(b, <-ended, http.ErrServerClosed)
+}
+
 // BenchmarkEntryMemory reports the heap that an entry's view of the endpoints takes, with eight residents each.
 func BenchmarkEntryMemory(b *testing.B) {
 	for _, endpoints := range []int{6, 73, 730} {
