--- a/internal/launcher/capacity_test.go
+++ b/internal/launcher/capacity_test.go
@@ -215,3 +215,63 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// BenchmarkOpenRequests reports the heap and stacks of the whole process for each open stream, running or waiting,
+// directly and through an entry, so that the difference is what an entry and a sidecar hold together.
+func BenchmarkOpenRequests(b *testing.B) {
+	for _, open := range []int{25, 50, 200} {
+		b.Run(fmt.Sprint("open=", open), func(b *testing.B) {
+			d, err := launcher.NewDemo(launcher.DemoConfig{Listen: "127.0.0.1:0", Folder: b.TempDir(), Log: zerolog.Nop()})
+			assert.NilError(b, err)
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- d.Run(ctx, io.Discard) }()
+			defer func() {
+				cancel()
+				assert.NilError(b, <-ended)
+			}()
+			for !d.Ready() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			h := newHotPath(b, d)
+			for b.Loop() {
+				for way, name := range h.names {
+					grown, failed := h.held(way, open)
+					b.ReportMetric(grown/float64(open), name+"-B/open")
+					b.ReportMetric(float64(failed), name+"-failed")
+				}
+			}
+		})
+	}
+}
+
+// held returns the growth of heap and stacks half a second after open streams have begun, and waits for their ends.
+func (h hotPath) held(way, open int) (grown float64, failed int) {
+	const tokens = 50
+	before := heapAndStacks()
+	ends := make(chan error, open)
+	for i := range open {
+		go func() {
+			_, err := h.stream(way, 2_000_000+2*i+way, tokens)
+			ends <- err
+		}()
+	}
+	time.Sleep(500 * time.Millisecond)
+	// Streams that have ended by now would lower the figure.
+	done := len(ends)
+	grown = float64(heapAndStacks()-before) * float64(open) / float64(max(open-done, 1))
+	for range open {
+		if err := <-ends; err != nil {
+			failed++
+		}
+	}
+	return grown, failed
+}
+
+func heapAndStacks() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
