Add the experiment command, and test the stated targets

The tables that flags of tests and a benchmark printed are now printed by the command, which also reports excess against its target, so those printing tests are removed. The bound of a half for placement with a lost domain stays, and the stated third is a test of its own.

--- a/cmd/geraniumladder/main.go
+++ b/cmd/geraniumladder/main.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"geraniumladder/internal/emulator"
+	"geraniumladder/internal/experimenter"
 	"geraniumladder/internal/inspector"
 	"geraniumladder/internal/launcher"
 	"geraniumladder/internal/operator"
@@ -26,6 +27,7 @@
 			launcher.Commands(),
 			operator.Config{InForce: inspector.ForOperators}.Commands(),
 			inspector.Commands(),
+			experimenter.Commands(),
 			[]*cli.Command{emulator.Commands()},
 		),
 	}
--- a/internal/experimenter/fairness.go
+++ b/internal/experimenter/fairness.go
@@ -5,17 +5,11 @@
 
 import (
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/olekukonko/tablewriter"
-	"github.com/olekukonko/tablewriter/renderer"
-	"github.com/olekukonko/tablewriter/tw"
-
 	"geraniumladder/pkg/scheduler"
 )
 
@@ -121,10 +115,10 @@
 // Fairness measures, in virtual time, how much each organisation notices of a neighbour that sends several times its
 // rate: at one endpoint and at several over which entries spread the requests, with endpoints that are half used and
 // seven tenths used while everybody sends their rate.
-func Fairness(seed uint64) []FairnessRow {
+func Fairness(seed uint64, fleets []int) []FairnessRow {
 	var rows []FairnessRow
 	for _, use := range []float64{0.5, 0.7} {
-		for _, endpoints := range []int{1, 4, 12} {
+		for _, endpoints := range fleets {
 			rows = append(rows, MeasureFairness(FairnessConfig{Seed: seed, Endpoints: endpoints, Use: use,
 				Duration: FairnessDuration, Variants: FairnessVariants()})...)
 		}
@@ -392,25 +386,20 @@
 	e.running = kept
 }
 
-// WriteFairness writes rows as a table in Markdown.
-func WriteFairness(w io.Writer, rows []FairnessRow) error {
-	table := tablewriter.NewTable(w, tablewriter.WithRenderer(renderer.NewMarkdown()),
-		tablewriter.WithHeaderAutoFormat(tw.Off))
-	table.Header("Use", "Endpoints", "Order", "Worst served", "p99 alone", "p99 at 1x", "p99 at 5x",
-		"To alone", "To 1x", "Share", "Share alone", "Batch used", "Within 1.25")
+// FairnessTable returns the rows as a table.
+func FairnessTable(rows []FairnessRow) Table {
+	t := Table{Header: []string{"Use", "Endpoints", "Order", "Worst served", "p99 alone", "p99 at 1x", "p99 at 5x",
+		"To alone", "To 1x", "Share", "Share alone", "Batch used", "Within 1.25"}}
 	for _, r := range rows {
 		met := "no"
 		if r.Met() {
 			met = "yes"
 		}
-		err := table.Append(fmt.Sprint(r.Use), fmt.Sprint(r.Endpoints), r.Variant, r.Organisation, milliseconds(r.Alone),
+		t.Rows = append(t.Rows, []string{fmt.Sprint(r.Use), fmt.Sprint(r.Endpoints), r.Variant, r.Organisation, milliseconds(r.Alone),
 			milliseconds(r.AtRate), milliseconds(r.Excess), fmt.Sprintf("%.2f", r.Ratio()),
-			fmt.Sprintf("%.2f", r.ExcessRatio()), fmt.Sprintf("%.3f", r.Share), fmt.Sprintf("%.3f", r.ShareAlone), fmt.Sprintf("%.2f", r.Batch), met)
-		if err != nil {
-			return errors.Wrap(err, "add a row to the table")
-		}
+			fmt.Sprintf("%.2f", r.ExcessRatio()), fmt.Sprintf("%.3f", r.Share), fmt.Sprintf("%.3f", r.ShareAlone), fmt.Sprintf("%.2f", r.Batch), met})
 	}
-	return errors.Wrap(table.Render(), "write the table")
+	return t
 }
 
 func milliseconds(d time.Duration) string { return fmt.Sprintf("%d ms", d.Milliseconds()) }
--- a/internal/experimenter/fairness_test.go
+++ b/internal/experimenter/fairness_test.go
@@ -1,38 +1,90 @@
 package experimenter_test
 
 import (
-	"flag"
-	"strings"
+	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"geraniumladder/internal/experimenter"
 )
 
-var (
-	fairnessSeed  = flag.Uint64("fairness.seed", 1, "seed of the trace of the fairness tests")
-	fairnessTable = flag.Bool("fairness.table", false, "print the whole table of fairness measurements")
-)
+// fairnessOf measures a variant. The time is that of the published table: in a shorter one the second in which the
+// excess begins is more than one request in a hundred.
+func fairnessOf(seed uint64, endpoints int, use float64, variant experimenter.FairnessVariant) experimenter.FairnessRow {
+	return fairnessFor(experimenter.FairnessDuration, seed, endpoints, use, variant)
+}
+
+func fairnessFor(d time.Duration, seed uint64, endpoints int, use float64, variant experimenter.FairnessVariant) experimenter.FairnessRow {
+	return experimenter.MeasureFairness(experimenter.FairnessConfig{Seed: seed, Endpoints: endpoints, Use: use,
+		Duration: d, Variants: []experimenter.FairnessVariant{variant}})[0]
+}
+
+// withoutLimits is the product's order and placement, to which rate limits give no help.
+func withoutLimits() experimenter.FairnessVariant {
+	all := experimenter.FairnessVariants()
+	return all[len(all)-2]
+}
+
+func withLimits() experimenter.FairnessVariant {
+	all := experimenter.FairnessVariants()
+	return all[len(all)-1]
+}
+
+func fairnessWithin(t *testing.T, row experimenter.FairnessRow) {
+	t.Helper()
+	assert.Assert(t, row.Ratio() <= 1.25 && row.ShareRatio() <= 1.25, "p99 %.2f, share %.2f: %+v", row.Ratio(), row.ShareRatio(), row)
+}
 
 // Guards against a neighbour that sends five times its rate making other organisations wait, at the size of today's
-// fleet, and against a measurement that would not notice it. The time is that of the published table: in a shorter one
-// the second in which the excess begins is more than one request in a hundred.
+// fleet at Vunidawa, and against a measurement that would not notice it.
 func TestFairness(t *testing.T) {
-	all := experimenter.FairnessVariants()
-	variants := []experimenter.FairnessVariant{all[2], all[len(all)-2]}
-	rows := experimenter.MeasureFairness(experimenter.FairnessConfig{Seed: *fairnessSeed, Endpoints: 12, Use: 0.5,
-		Duration: experimenter.FairnessDuration, Variants: variants})
-	assert.Assert(t, !rows[0].Met(), "%+v", rows[0])
-	assert.Assert(t, rows[1].Met(), "%+v", rows[1])
+	t.Parallel()
+	counter := fairnessFor(2*time.Minute, 1, 12, 0.5, experimenter.FairnessVariants()[2])
+	assert.Assert(t, !counter.Met(), "%+v", counter)
+	fairnessWithin(t, fairnessOf(1, 12, 0.5, withoutLimits()))
+}
+
+// Guards against the same behind the rate limits that the product has, at a small fleet and at both users' fleets.
+func TestTargetFairnessLimited(t *testing.T) {
+	t.Parallel()
+	for _, endpoints := range []int{4, 12, 18} {
+		t.Run(fmt.Sprint(endpoints), func(t *testing.T) {
+			t.Parallel()
+			fairnessWithin(t, fairnessFor(5*time.Minute, 1, endpoints, 0.5, withLimits()))
+		})
+	}
+}
+
+// The same as TestFairness at the size of today's fleet at Accra.
+func TestTargetFairnessAccra(t *testing.T) {
+	t.Parallel()
+	fairnessWithin(t, fairnessOf(1, 18, 0.5, withoutLimits()))
 }
 
-// Prints the table of docs/measurements-fairness.md.
-func TestFairnessTable(t *testing.T) {
-	if !*fairnessTable {
-		t.Skip("run with -fairness.table")
+// The same as TestFairness with the seed that has the worst figure of those measured.
+func TestTargetFairnessSeed6(t *testing.T) {
+	t.Parallel()
+	fairnessWithin(t, fairnessOf(6, 12, 0.5, withoutLimits()))
+}
+
+// The same as TestFairness at fewer endpoints.
+func TestTargetFairnessFewEndpoints(t *testing.T) {
+	t.Parallel()
+	for _, endpoints := range []int{1, 4} {
+		fairnessWithin(t, fairnessOf(1, endpoints, 0.5, withoutLimits()))
 	}
-	var b strings.Builder
-	assert.NilError(t, experimenter.WriteFairness(&b, experimenter.Fairness(*fairnessSeed)))
-	t.Logf("seed %d\n%s", *fairnessSeed, b.String())
+}
+
+// The same behind the rate limits with one endpoint and seed 5, the worst of those measured.
+func TestTargetFairnessLimitedOneEndpoint(t *testing.T) {
+	t.Parallel()
+	fairnessWithin(t, fairnessOf(5, 1, 0.5, withLimits()))
+}
+
+// The same behind the rate limits with endpoints that are seven tenths used at everybody's rates.
+func TestTargetFairnessBusy(t *testing.T) {
+	t.Parallel()
+	fairnessWithin(t, fairnessOf(1, 12, 0.7, withLimits()))
 }
--- a/internal/experimenter/limits.go
+++ b/internal/experimenter/limits.go
@@ -9,7 +9,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"geraniumladder/pkg/limiter"
@@ -54,18 +53,17 @@
 	return 1000 * float64(r.Stranded) / float64(max(1, r.Requests))
 }
 
-// String renders the result as a Markdown table.
-func (r LimitsResult) String() string {
-	var b strings.Builder
-	b.WriteString("| Scenario | Policy | Requests | Admitted | Excess tokens | Wrongful per 1,000 | Stranded per 1,000 | " +
-		"Waited per 1,000 | Mean wait | Longest wait | Messages per request |\n|---|---|---|---|---|---|---|---|---|---|---|\n")
+// Table returns the rows as a table.
+func (r LimitsResult) Table() Table {
+	t := Table{Header: []string{"Scenario", "Policy", "Requests", "Admitted", "Excess tokens", "Wrongful per 1,000", "Stranded per 1,000",
+		"Waited per 1,000", "Mean wait", "Longest wait", "Messages per request"}}
 	for _, row := range r.Rows {
-		fmt.Fprintf(&b, "| %s | %s | %d | %d | %.0f | %.2f | %.2f | %.1f | %.1f ms | %.0f ms | %.2f |\n",
-			row.Scenario, row.Policy, row.Requests, row.Admitted, row.Excess, row.WrongfulPerThousand(), row.StrandedPerThousand(),
-			1000*float64(row.Waited)/float64(max(1, row.Requests)), float64(row.MeanWait.Microseconds())/1000,
-			float64(row.MaxWait.Microseconds())/1000, float64(row.Messages)/float64(max(1, row.Requests)))
+		per := 1 / float64(max(1, row.Requests))
+		t.Rows = append(t.Rows, []string{row.Scenario, row.Policy, fmt.Sprint(row.Requests), fmt.Sprint(row.Admitted), fmt.Sprintf("%.0f", row.Excess),
+			fmt.Sprintf("%.2f", row.WrongfulPerThousand()), fmt.Sprintf("%.2f", row.StrandedPerThousand()), fmt.Sprintf("%.1f", 1000*per*float64(row.Waited)),
+			fmt.Sprintf("%.1f ms", row.MeanWait.Seconds()*1000), fmt.Sprintf("%.0f ms", row.MaxWait.Seconds()*1000), fmt.Sprintf("%.2f", per*float64(row.Messages))})
 	}
-	return b.String()
+	return t
 }
 
 const (
@@ -99,15 +97,15 @@
 // The organisations' limits are our choice: two are large, the small ones have about one request a second.
 var limitsSizes = map[string]limitsSize{
 	// Long drafts from letters and photos.
-	"vunidawa": {latency: 1500 * time.Microsecond, prompt: 700, answer: 800, perToken: 20 * time.Millisecond, limits: []limiter.Config{
+	vunidawa: {latency: 1500 * time.Microsecond, prompt: 700, answer: 800, perToken: 20 * time.Millisecond, limits: []limiter.Config{
 		{Rate: 6000, Burst: 36000}, {Rate: 4000, Burst: 24000}, {Rate: 1500, Burst: 12000}, {Rate: 800, Burst: 9000}, {Rate: 800, Burst: 9000}}},
 	// A long shared prompt prefix and short answers.
-	"accra": {latency: time.Millisecond, prompt: 1500, answer: 400, perToken: 15 * time.Millisecond, limits: []limiter.Config{
+	accra: {latency: time.Millisecond, prompt: 1500, answer: 400, perToken: 15 * time.Millisecond, limits: []limiter.Config{
 		{Rate: 12000, Burst: 60000}, {Rate: 9000, Burst: 45000}, {Rate: 3000, Burst: 18000}, {Rate: 1500, Burst: 12000}, {Rate: 1500, Burst: 12000}}},
 }
 
 // LimitsSizes returns the sizes that Limits knows.
-func LimitsSizes() []string { return []string{"accra", "vunidawa"} }
+func LimitsSizes() []string { return []string{accra, vunidawa} }
 
 // scenario is a traffic pattern with faults.
 type scenario struct {
@@ -184,14 +182,16 @@
 }
 
 // Limits measures the policies at a size named in LimitsSizes. The same seed gives the same figures.
-func Limits(seed int64, size string) LimitsResult { return LimitsPart(seed, size, 1) }
+func Limits(seed int64, size string) LimitsResult {
+	return LimitsPart(seed, size, 1, func(string, string) bool { return true })
+}
 
 // lossRepeats is how often a loss, which lasts seconds, is repeated with other traffic, so that its figures are of
 // some thousand requests.
 const lossRepeats = 20
 
-// LimitsPart is Limits with times and repeats cut to a part, for checks that need no figures.
-func LimitsPart(seed int64, size string, part float64) LimitsResult {
+// LimitsPart is Limits with times and repeats cut to a part, for the scenarios and policies to keep.
+func LimitsPart(seed int64, size string, part float64, keep func(scenario, policy string) bool) LimitsResult {
 	result := LimitsResult{Size: size, Seed: seed}
 	for _, s := range limitsScenarios() {
 		s.duration = max(lossAt+time.Minute, time.Duration(part*float64(s.duration)))
@@ -201,6 +201,9 @@
 			repeats = int(math.Ceil(lossRepeats * part))
 		}
 		for _, p := range limitPolicies {
+			if !keep(s.name, p.name) {
+				continue
+			}
 			row := LimitsRow{Scenario: s.name, Policy: p.name}
 			var waits time.Duration
 			for i := range repeats {
--- a/internal/experimenter/placement_table.go
+++ b/internal/experimenter/placement_table.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -53,18 +52,18 @@
 	return mean
 }
 
-// PlacementTable returns the rows as a Markdown table.
-func PlacementTable(rows []PlacementResult) string {
-	var b strings.Builder
-	b.WriteString("| Size | Scenario | Policy | Requests | Stalled /1,000 | Stall time /1,000 (s) | Loads /1,000 | Of these resident elsewhere | Refused /1,000 | Tokens a step | Same adapter | p50 (ms) | p99 (ms) |\n")
-	b.WriteString("|---|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|\n")
+// PlacementTable returns the rows as a table.
+func PlacementTable(rows []PlacementResult) Table {
+	t := Table{Header: []string{"Size", "Scenario", "Policy", "Requests", "Stalled /1,000", "Stall time /1,000 (s)", "Loads /1,000",
+		"Of these resident elsewhere", "Refused /1,000", "Tokens a step", "Same adapter", "p50 (ms)", "p99 (ms)"}}
 	for _, r := range rows {
-		if r.TokensPerStep == 0 { // The offline bound has no times.
-			fmt.Fprintf(&b, "| %s | %s | %s | %d | %.0f | | %.0f | | | | | | |\n", r.Size, r.Scenario, r.Policy, r.Requests, r.Stalls, r.Loads)
-			continue
+		whole, tenth := func(f float64) string { return fmt.Sprintf("%.0f", f) }, func(f float64) string { return fmt.Sprintf("%.1f", f) }
+		row := []string{r.Size, string(r.Scenario), r.Policy, fmt.Sprint(r.Requests), whole(r.Stalls), "", whole(r.Loads), "", "", "", "", "", ""}
+		if r.TokensPerStep > 0 { // The offline bound has no times.
+			row = append(row[:5], tenth(r.StallTime.Seconds()), whole(r.Loads), whole(r.Duplicates), whole(r.Refused), tenth(r.TokensPerStep),
+				tenth(r.SameAdapter), fmt.Sprint(r.P50.Milliseconds()), fmt.Sprint(r.P99.Milliseconds()))
 		}
-		fmt.Fprintf(&b, "| %s | %s | %s | %d | %.0f | %.1f | %.0f | %.0f | %.0f | %.1f | %.1f | %d | %d |\n", r.Size, r.Scenario, r.Policy, r.Requests, r.Stalls,
-			r.StallTime.Seconds(), r.Loads, r.Duplicates, r.Refused, r.TokensPerStep, r.SameAdapter, r.P50.Milliseconds(), r.P99.Milliseconds())
+		t.Rows = append(t.Rows, row)
 	}
-	return b.String()
+	return t
 }
--- a/internal/experimenter/placement_test.go
+++ b/internal/experimenter/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,35 +11,100 @@
 	"geraniumladder/internal/experimenter"
 )
 
-func brief() experimenter.PlacementSize {
-	size := experimenter.Vunidawa()
+// placementKey names a run that several tests read.
+type placementKey struct {
+	user     string
+	scenario experimenter.PlacementScenario
+}
+
+var placementRuns sync.Map
+
+var placementSizes = map[string]func() experimenter.PlacementSize{"vunidawa": experimenter.Vunidawa, "accra": experimenter.Accra}
+
+// briefly returns the rows of the product's policy, the least loaded endpoint, the plain hash and the offline bound, of
+// seed 1 and four minutes in place of ten.
+func briefly(user string, scenario experimenter.PlacementScenario) []experimenter.PlacementResult {
+	of, _ := placementRuns.LoadOrStore(placementKey{user, scenario}, sync.OnceValue(func() []experimenter.PlacementResult {
+		all := experimenter.PlacementPolicies()
+		return experimenter.PlacementOf(1, brief(user), scenario, []experimenter.PlacementPolicy{all[0], all[4], all[5]})
+	}))
+	return of.(func() []experimenter.PlacementResult)()
+}
+
+func brief(user string) experimenter.PlacementSize {
+	size := placementSizes[user]()
 	size.Duration = 4 * time.Minute
 	return size
 }
 
+// inEach runs a check at both users' sizes in the scenarios that are selected.
+func inEach(t *testing.T, selected func(experimenter.PlacementScenario) bool, check func(t *testing.T, user string, scenario experimenter.PlacementScenario)) {
+	t.Parallel()
+	for user := range placementSizes {
+		for _, scenario := range experimenter.PlacementScenarios() {
+			if selected(scenario) {
+				t.Run(user+"/"+string(scenario), func(t *testing.T) {
+					t.Parallel()
+					check(t, user, scenario)
+				})
+			}
+		}
+	}
+}
+
+func everyScenario(experimenter.PlacementScenario) bool { return true }
+
+func domainLost(s experimenter.PlacementScenario) bool { return s == experimenter.DomainLost }
+
 // TestPlacement guards against a run that exceeds the load budget or beats the offline bound, loses requests, or differs
-// between two runs with one seed; and against a product policy that is no better than the least loaded endpoint.
+// between two runs with one seed; and against a product policy with a worse p99 than a baseline's
+// or half of the stalls of the least loaded endpoint.
 func TestPlacement(t *testing.T) {
-	size := brief()
-	policies := experimenter.PlacementPolicies()
-	policies = []experimenter.PlacementPolicy{policies[0], policies[4]}
-	for _, scenario := range experimenter.PlacementScenarios() {
-		rows := experimenter.PlacementOf(1, size, scenario, policies)
-		bound := rows[len(rows)-1]
+	inEach(t, everyScenario, func(t *testing.T, user string, scenario experimenter.PlacementScenario) {
+		rows := briefly(user, scenario)
+		size, bound := brief(user), rows[len(rows)-1]
 		for _, r := range rows {
 			assert.Equal(t, r.Requests, bound.Requests)
 			loads := r.Loads / 1000 * float64(r.Requests)
 			assert.Assert(t, loads <= size.LoadsRate*120+9, "%s, %s: %.0f loads in two minutes", scenario, r.Policy, loads)
 		}
-		product, least := rows[0], rows[1]
+		product := rows[0]
 		assert.Assert(t, product.Stalls >= bound.Stalls, "%s", scenario)
-		ratio := 3.0
-		if scenario == experimenter.DomainLost {
-			ratio = 2 // The rest of the fleet is overloaded; a third is not reached (docs/design/003-placement.md).
+		assert.Assert(t, product.P99 <= rows[1].P99 && product.P99 <= rows[2].P99, "%v", rows)
+		// The target is a third; it is missed when a domain is lost, and this bound notices if that gets worse.
+		assert.Assert(t, product.Stalls*2 < rows[1].Stalls, "%s: %v", scenario, rows)
+		if user == "vunidawa" {
+			assert.DeepEqual(t, experimenter.PlacementOf(1, size, scenario, experimenter.PlacementPolicies()[:1])[0], product)
 		}
-		assert.Assert(t, product.Stalls*ratio < least.Stalls && product.P99 <= least.P99, "%s: %v", scenario, product)
-		assert.DeepEqual(t, experimenter.PlacementOf(1, size, scenario, policies[:1])[0], product)
-	}
+	})
+}
+
+func stallsWithin(t *testing.T, rows []experimenter.PlacementResult, baseline int, part float64) {
+	t.Helper()
+	product, base := rows[0], rows[baseline]
+	assert.Assert(t, product.Stalls <= part*base.Stalls, "%.0f stalls in 1,000 to %.0f of %s: %.2f, target %.2f",
+		product.Stalls, base.Stalls, base.Policy, product.Stalls/base.Stalls, part)
+}
+
+// TestTargetPlacementLeastLoaded guards against more than a third of the stalls of the least loaded endpoint.
+func TestTargetPlacementLeastLoaded(t *testing.T) {
+	inEach(t, func(s experimenter.PlacementScenario) bool { return !domainLost(s) }, func(t *testing.T, user string, scenario experimenter.PlacementScenario) {
+		stallsWithin(t, briefly(user, scenario), 1, 1.0/3)
+	})
+}
+
+// TestTargetPlacementDomainLost is TestTargetPlacementLeastLoaded when a failure domain is lost.
+func TestTargetPlacementDomainLost(t *testing.T) {
+	inEach(t, domainLost, func(t *testing.T, user string, scenario experimenter.PlacementScenario) {
+		stallsWithin(t, briefly(user, scenario), 1, 1.0/3)
+	})
+}
+
+// TestTargetPlacementHash guards against more than half of the stalls of the plain hash.
+func TestTargetPlacementHash(t *testing.T) {
+	inEach(t, everyScenario, func(t *testing.T, user string, scenario experimenter.PlacementScenario) {
+		stallsWithin(t, briefly(user, scenario), 2, 1.0/2)
+	})
 }
 
 // TestMeanPlacement guards against means that aren't over all runs.
@@ -58,16 +124,7 @@
 	return experimenter.MeanPlacement(runs...)
 }
 
-// BenchmarkPlacement prints the tables of docs/measurements-placement.md: means over seeds 1 to 4.
-func BenchmarkPlacement(b *testing.B) {
-	for b.Loop() {
-		for _, size := range []experimenter.PlacementSize{experimenter.Vunidawa(), experimenter.Accra()} {
-			fmt.Print("\n", experimenter.PlacementTable(mean(size, experimenter.Placement)))
-		}
-	}
-}
-
-// BenchmarkPlacementTraces prints the second table: the steady scenario on other traces.
+// BenchmarkPlacementTraces prints a table of docs/measurements.md, means over seeds 1 to 4: the steady scenario on other traces.
 func BenchmarkPlacementTraces(b *testing.B) {
 	policies := experimenter.PlacementPolicies()
 	for b.Loop() {
