--- a/cmd/geraniumladder/main.go
+++ b/cmd/geraniumladder/main.go
@@ -11,6 +11,7 @@
 
 	"geraniumladder/internal/driver"
 	"geraniumladder/internal/emulator"
+	"geraniumladder/internal/experimenter"
 	"geraniumladder/internal/inspector"
 	"geraniumladder/internal/launcher"
 	"geraniumladder/internal/operator"
@@ -32,6 +33,7 @@
 			driver.Commands(),
 			replayer.Commands(),
 			reporter.Commands(),
+			experimenter.Commands(),
 			[]*cli.Command{emulator.Commands()},
 		),
 	}
