Recognise a stream's events without decoding each; take heartbeats in without a look at every member

Cause: entry and sidecar each decoded every event as JSON and built metric labels anew, 36 to 41 allocations a token; an entry looked at the state of all members at each heartbeat, 1.175 ms at 730 endpoints against 0.042 ms at 6. Change: matcher learns the start of a stream's events from one that was decoded and checked; labels are cached by organisation; a heartbeat carries over the state of its own member only.

--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"geraniumladder/internal/matcher"
 	"geraniumladder/internal/messenger"
 	"geraniumladder/internal/wire"
 )
@@ -245,6 +246,7 @@
 	// last is the number of the newest event relayed; -1 before the request has reached the engine.
 	last    int
 	started bool
+	events  matcher.Matcher
 	// broken is why the last connection ended, for the failure's message.
 	broken error
 }
@@ -349,27 +351,40 @@
 		r.out.write([]byte("data: [DONE]\n\n"))
 		return nil, true
 	}
-	var head struct {
-		ID    string `json:"id"`
-		Model string `json:"model"`
-	}
-	if err := json.Unmarshal(ev.raw, &head); err != nil {
-		return r.fail(wire.RunErrorCodeEngineFailed, "the engine sent a malformed event; retry the request"), false
-	}
-	if head.Model != r.model || !strings.HasSuffix(head.ID, engineID(r.header)) {
-		return r.fail(wire.RunErrorCodeWrongModel,
-			fmt.Sprintf("the engine answered as %q for request %q; retry the request", head.Model, head.ID)), false
+	if failure := r.check(ev.raw); failure != nil {
+		return failure, false
 	}
 	if r.header.Attempt > 1 {
 		// The caller's answer has one ID, whichever attempts it came from.
 		ev.raw = bytes.Replace(ev.raw, []byte(engineID(r.header)), []byte(r.header.RequestID), 1)
 	}
 	chunk := make([]byte, 0, len(ev.raw)+32)
-	chunk = fmt.Appendf(chunk, "id: %d\ndata: %s\n\n", r.last, ev.raw)
+	chunk = strconv.AppendInt(append(chunk, "id: "...), int64(r.last), 10)
+	chunk = append(append(append(chunk, "\ndata: "...), ev.raw...), "\n\n"...)
 	r.out.write(chunk)
 	return nil, false
 }
 
+// check refuses an event of another request or model.
+func (r *relayer) check(raw []byte) *wire.RunError {
+	if r.events.Known(raw) {
+		return nil
+	}
+	var head struct {
+		ID    string `json:"id"`
+		Model string `json:"model"`
+	}
+	if err := json.Unmarshal(raw, &head); err != nil {
+		return r.fail(wire.RunErrorCodeEngineFailed, "the engine sent a malformed event; retry the request")
+	}
+	if head.Model != r.model || !strings.HasSuffix(head.ID, engineID(r.header)) {
+		return r.fail(wire.RunErrorCodeWrongModel,
+			fmt.Sprintf("the engine answered as %q for request %q; retry the request", head.Model, head.ID))
+	}
+	r.events.Learn(raw, engineID(r.header), r.model)
+	return nil
+}
+
 // engineID names an attempt at the engine. An earlier attempt of the same request may still run there, so under a common
 // ID a resume could read, and a cancel could end, the wrong one.
 func engineID(header wire.RunHeader) string {
--- /dev/null
+++ b/internal/matcher/matcher_test.go
@@ -0,0 +1,80 @@
+package matcher_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"geraniumladder/internal/matcher"
+)
+
+type choice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type event struct {
+	ID      string   `json:"id"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+func encode(t interface{ Helper() }, id, model, text string) []byte {
+	t.Helper()
+	// A struct of strings always encodes.
+	raw, _ := json.Marshal(event{ID: "cmpl-" + id, Model: model, Choices: []choice{{Text: text}}})
+	return raw
+}
+
+// Guards against another request's or model's event that passes for known, and against a text that is cut or changed
+// by its quotes and escapes, whatever the text holds.
+func TestTokenAgreesWithDecoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m matcher.Matcher
+		m.Learn(encode(t, "req-1", "a@v1", "first"), "req-1", "a@v1")
+		hostile := rapid.SampledFrom([]string{`"`, `\`, `"choices":`, `"finish_reason":null`, `"usage":{`, `"text":"`, "\n", "é", "x"})
+		text := ""
+		for _, part := range rapid.SliceOf(hostile).Draw(t, "parts") {
+			text += part
+		}
+		id := rapid.SampledFrom([]string{"req-1", "req-2", "req-11"}).Draw(t, "id")
+		model := rapid.SampledFrom([]string{"a@v1", "a@v2"}).Draw(t, "model")
+		raw := encode(t, id, model, text)
+		own := id == "req-1" && model == "a@v1"
+		assert.Equal(t, m.Known(raw), own)
+		encoded, ok := m.Token(raw)
+		if !ok {
+			return
+		}
+		assert.Assert(t, own)
+		var decoded string
+		assert.NilError(t, json.Unmarshal(append(append([]byte{'"'}, encoded...), '"'), &decoded))
+		assert.Equal(t, decoded, text)
+	})
+}
+
+// Guards against treating an event as a plain token that ends the stream, carries usage, or has no text.
+func TestOtherEventsAreDecoded(t *testing.T) {
+	var m matcher.Matcher
+	first := `{"id":"req-1","model":"a@v1","choices":[{"text":"x","finish_reason":null}]}`
+	_, ok := m.Token([]byte(first))
+	assert.Assert(t, !ok, "nothing was learned yet")
+	m.Learn([]byte(`{"id":"req-1","choices":[],"model":"a@v1"}`), "req-1", "a@v1")
+	assert.Assert(t, !m.Known([]byte(`{"id":"req-1","choices":[],"model":"b"}`)), "learned from a start without the model")
+	m.Learn([]byte(first), "req-1", "a@v1")
+	for event, want := range map[string]bool{
+		first: true,
+		`{"id":"req-1","model":"a@v1","choices":[{"text":"x","finish_reason":"stop"}]}`:                               false,
+		`{"id":"req-1","model":"a@v1","choices":[{"text":"x","finish_reason":null}],"usage":{"prompt_tokens":1}}`:     false,
+		`{"id":"req-1","model":"a@v1","choices":[]}`:                                                                  false,
+		`{"id":"req-1","model":"a@v1","choices":[{"delta":{"role":"assistant","content":"x"},"finish_reason":null}]}`: false,
+		`{"id":"req-1","model":"a@v1","choices":[{"delta":{"content":"x"},"finish_reason":null}]}`:                    true,
+		`{"id":"req-1","model":"a@v1","choices":[{"text":"x`:                                                          false,
+	} {
+		_, ok := m.Token([]byte(event))
+		assert.Equal(t, ok, want, event)
+	}
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -7,6 +7,7 @@
 	"context"
 	"math"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,8 @@
 	queueWait     metric.Float64Histogram
 	loadTime      metric.Float64Histogram
 	otel          metric.Meter
+	// options caches the labels of each organisation, which would else be built anew for each token.
+	options sync.Map
 }
 
 // Config configures a Meter.
@@ -104,8 +107,20 @@
 	return errors.Wrap(err, "register the gauge")
 }
 
-func organisationLabel(organisation string) metric.MeasurementOption {
-	return metric.WithAttributeSet(attribute.NewSet(attribute.String("Organisation", organisation)))
+// organisationLabel returns the label as a slice, so that a call with it allocates nothing.
+func (m *Meter) organisationLabel(organisation string) cachedOptions {
+	if cached, ok := m.options.Load(organisation); ok {
+		return cached.(cachedOptions)
+	}
+	option := metric.WithAttributeSet(attribute.NewSet(attribute.String("Organisation", organisation)))
+	made := cachedOptions{add: []metric.AddOption{option}, record: []metric.RecordOption{option}}
+	cached, _ := m.options.LoadOrStore(organisation, made)
+	return cached.(cachedOptions)
+}
+
+type cachedOptions struct {
+	add    []metric.AddOption
+	record []metric.RecordOption
 }
 
 func labels(organisation, key, value string) metric.MeasurementOption {
@@ -125,7 +140,7 @@
 
 // Retry counts a second or later dispatch.
 func (m *Meter) Retry(organisation string) {
-	m.retries.Add(context.Background(), 1, organisationLabel(organisation))
+	m.retries.Add(context.Background(), 1, m.organisationLabel(organisation).add...)
 }
 
 // Tokens counts tokens; kind is prompt or answer.
@@ -141,7 +156,7 @@
 
 // Stall counts a request that waited for an adapter load.
 func (m *Meter) Stall(organisation string) {
-	m.stalls.Add(context.Background(), 1, organisationLabel(organisation))
+	m.stalls.Add(context.Background(), 1, m.organisationLabel(organisation).add...)
 }
 
 // ControlBytes counts bytes of messages between processes; direction is in or out.
@@ -151,17 +166,17 @@
 
 // FirstToken records the time to the first token.
 func (m *Meter) FirstToken(organisation string, took time.Duration) {
-	m.firstToken.Record(context.Background(), took.Seconds(), organisationLabel(organisation))
+	m.firstToken.Record(context.Background(), took.Seconds(), m.organisationLabel(organisation).record...)
 }
 
 // BetweenTokens records the time between two tokens.
 func (m *Meter) BetweenTokens(organisation string, took time.Duration) {
-	m.betweenTokens.Record(context.Background(), took.Seconds(), organisationLabel(organisation))
+	m.betweenTokens.Record(context.Background(), took.Seconds(), m.organisationLabel(organisation).record...)
 }
 
 // QueueWait records the time in an endpoint's queue.
 func (m *Meter) QueueWait(organisation string, took time.Duration) {
-	m.queueWait.Record(context.Background(), took.Seconds(), organisationLabel(organisation))
+	m.queueWait.Record(context.Background(), took.Seconds(), m.organisationLabel(organisation).record...)
 }
 
 // Handler returns the page in the Prometheus format.
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -265,7 +265,7 @@
 		return &result{failure: failure}
 	}
 	defer release()
-	body, err := cl.model.engineBody(cl.name(), cl.route.Priority, sink.sent.String(), sink.tokens)
+	body, err := cl.model.engineBody(cl.name(), cl.route.Priority, sink.sent(), sink.tokens)
 	if err != nil {
 		return &result{failure: invalid(http.StatusBadRequest, "bad_json", "the body cannot be encoded again: %v", err)}
 	}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -76,7 +76,10 @@
 		want = want || gap
 	}
 	r.view = r.view.WithLoad(beat.VM, beat.Incarnation, loadOf(beat.Load), now)
-	r.refreshStates(now)
+	// Only this member's state can have changed; the others' change with time, which refreshStates looks after.
+	if m, known := r.members.Member(beat.VM, now); known {
+		r.carryOver(m)
+	}
 	return want, nil
 }
 
@@ -116,19 +119,23 @@
 // refreshStates carries the members' states over to the view. The caller holds the lock.
 func (r *Router) refreshStates(now time.Duration) {
 	for _, m := range r.members.Members(now) {
-		if r.states[m.VM] == m.State && m.State != tracker.Live {
-			continue
-		}
-		r.states[m.VM] = m.State
-		if m.State == tracker.Gone {
-			r.view = r.view.Without(m.VM)
-			delete(r.states, m.VM)
-			continue
+		if r.states[m.VM] != m.State || m.State == tracker.Live {
+			r.carryOver(m)
 		}
-		r.view = r.view.WithState(m.VM, m.Incarnation, placerState(m.State))
 	}
 }
 
+// carryOver sets the state of one member in the view.
+func (r *Router) carryOver(m tracker.Member[wire.Descriptor]) {
+	if m.State == tracker.Gone {
+		r.view = r.view.Without(m.VM)
+		delete(r.states, m.VM)
+		return
+	}
+	r.states[m.VM] = m.State
+	r.view = r.view.WithState(m.VM, m.Incarnation, placerState(m.State))
+}
+
 func placerState(s tracker.State) placer.State {
 	switch s {
 	case tracker.Live:
--- a/internal/router/sink.go
+++ b/internal/router/sink.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"geraniumladder/internal/matcher"
 	"geraniumladder/internal/messenger"
 )
 
@@ -47,16 +48,19 @@
 	started bool
 	// done is set when the end mark of the stream has come.
 	done bool
-	// sent is the text of the answer so far; tokens counts it.
-	sent   strings.Builder
-	tokens int
+	// encoded is the text of the answer so far, as the inside of a JSON string; tokens counts it.
+	encoded []byte
+	tokens  int
+	events  matcher.Matcher
 	// before is the number of tokens that came from earlier streams of this request.
 	before int
 	// finish is the event with the finish reason, held back so that the usage can join it.
-	finish    []byte
-	finishes  string
-	usage     *usage
-	created   int64
+	finish   []byte
+	finishes string
+	usage    *usage
+	created  int64
+	// line is reused for each event that is written.
+	line      []byte
 	lastToken time.Time
 }
 
@@ -89,10 +93,18 @@
 		s.done = true
 		return nil
 	}
+	if s.call.model.stream {
+		if text, ok := s.events.Token(raw); ok {
+			s.token(text)
+			s.write(raw)
+			return nil
+		}
+	}
 	var c chunk
 	if err := json.Unmarshal(raw, &c); err != nil || c.Model != s.call.name() || !strings.HasSuffix(c.ID, s.call.id) {
 		return failed(http.StatusBadGateway, ran, "crossed_answer", "the endpoint sent another request's answer; send the request again")
 	}
+	s.events.Learn(raw, s.call.id, s.call.name())
 	s.created = c.Created
 	if c.Usage != nil {
 		s.usage = &usage{PromptTokens: c.Usage.PromptTokens - s.before, CompletionTokens: s.before + c.Usage.CompletionTokens}
@@ -103,7 +115,9 @@
 	}
 	text := c.Choices[0].Text + c.Choices[0].Delta.Content
 	if text != "" {
-		s.token(text)
+		// A string always encodes.
+		quoted, _ := json.Marshal(text)
+		s.token(quoted[1 : len(quoted)-1])
 	}
 	if c.Choices[0].FinishReason != nil && s.call.model.plain {
 		s.finishes, s.finish = *c.Choices[0].FinishReason, raw
@@ -115,7 +129,11 @@
 	return nil
 }
 
-func (s *modelSink) token(text string) {
+// token counts a token and keeps its text, the inside of a JSON string.
+func (s *modelSink) token(text []byte) {
+	if len(text) == 0 {
+		return
+	}
 	now := s.router.now()
 	if s.tokens == 0 {
 		s.router.config.Meter.FirstToken(s.call.organisation.Name, now.Sub(s.call.arrived))
@@ -125,12 +143,23 @@
 	s.lastToken = now
 	s.tokens++
 	s.call.model.received = s.tokens
-	s.sent.WriteString(text)
+	s.encoded = append(s.encoded, text...)
+}
+
+// sent is the text of the answer so far. Each part was a whole JSON string, so that they decode together.
+func (s *modelSink) sent() string {
+	quoted := append(append([]byte{'"'}, s.encoded...), '"')
+	var text string
+	if err := json.Unmarshal(quoted, &text); err != nil {
+		s.router.log.Error().Err(err).Str("RequestId", s.call.id).Msg("entry: text of an answer cannot be decoded")
+	}
+	return text
 }
 
 func (s *modelSink) write(raw []byte) {
 	s.begin()
-	_, _ = s.w.Write(append(append([]byte("data: "), raw...), "\n\n"...))
+	s.line = append(append(append(s.line[:0], "data: "...), raw...), "\n\n"...)
+	_, _ = s.w.Write(s.line)
 	s.flush()
 }
 
@@ -211,10 +240,10 @@
 
 // writePlain sends the whole answer at once, for a caller who did not ask for a stream.
 func (s *modelSink) writePlain() {
-	answer := s.shape("text_completion", []any{textChoice{Text: s.sent.String(), FinishReason: s.finishes}})
+	answer := s.shape("text_completion", []any{textChoice{Text: s.sent(), FinishReason: s.finishes}})
 	if s.call.model.chat {
 		answer = s.shape("chat.completion", []any{
-			chatChoice{Message: delta{Role: "assistant", Content: s.sent.String()}, FinishReason: s.finishes},
+			chatChoice{Message: delta{Role: "assistant", Content: s.sent()}, FinishReason: s.finishes},
 		})
 	}
 	// The answer holds only strings and numbers, which always encode.
