router: join again when the run began after the first join

Cause: a retry that found the claim could reach the sidecar before the run message; its join found nothing, the run came and ended, the void said done, and the retry was refused with answer_not_kept although the answer was there. Ruled out: the sidecar, which keeps answers for Remember. Change: after done, the retry joins once more before it says that the answer is not kept.

--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -289,6 +289,16 @@
 	}
 	asked := r.now()
 	answer := r.void(ctx, c.row.Address, c.row.Incarnation, c.row.RequestID)
+	if answer == claimer.VoidDone && res.refused != nil {
+		// The join may have arrived before the run message did, and the run has ended since: its answer is there now.
+		if resp, res = r.join(ctx, c.row.Address, c.row.Incarnation, c.row.RequestID, 0); resp != nil { //nolint:bodyclose // As above.
+			if res = r.readService(resp, cl, &d, sink); res == nil {
+				r.keepAnswer(ctx, &c, sink)
+				return nil, false
+			}
+			return failed(http.StatusBadGateway, ran, "answer_broken", "the answer broke off; send the call again with the same Idempotency-Key"), false
+		}
+	}
 	sink.w.Header().Del(replayedHeader)
 	switch {
 	case answer == claimer.VoidDone && res.refused != nil:
