router: bring the last token again when its event was held back

Cause: the event with the finish reason is held back until the usage has come, but its token counted as sent. When the stream broke between the two, the continuation left that token out and brought one that the answer does not have. Ruled out: the engine and the sidecar, whose events were right; 45 of 46 tokens of the answer were. Change: a new stream starts before the held token.

--- a/internal/launcher/bookings_test.go
+++ b/internal/launcher/bookings_test.go
@@ -292,3 +292,43 @@
 		assert.Check(t, cmp.Contains(string(row.Data), `"Released":true`))
 	}
 }
+
+// endless drops the connection before the end mark of a stream.
+type endless struct{ http.ResponseWriter }
+
+func (e *endless) Unwrap() http.ResponseWriter { return e.ResponseWriter }
+
+func (e *endless) Write(p []byte) (int, error) {
+	if strings.Contains(string(p), "[DONE]") || strings.Contains(string(p), `"choices":[]`) {
+		_ = http.NewResponseController(e.ResponseWriter).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	return e.ResponseWriter.Write(p)
+}
+
+// Guards against a wrong last token when a stream breaks between its last token and its end mark (P7).
+func TestStreamThatBreaksBeforeItsEndMarkEndsRight(t *testing.T) {
+	t.Parallel()
+	var broken sync.Map
+	f := startFleetWith(t, launcher.DemoConfig{WrapEngine: func(_ int, next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("X-Request-Id")
+			id = id[max(0, strings.LastIndex(id, "req-")):]
+			resumed, isResumed := strings.CutPrefix(r.URL.Path, "/v1/streams/")
+			if _, again := broken.LoadOrStore(id, resumed); r.URL.Path == "/v1/completions" && !again {
+				w = &endless{w}
+			} else if isResumed && !strings.HasPrefix(resumed, "attempt-") {
+				http.NotFound(w, r)
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}})
+	for i := range 3 {
+		resp, text := f.do("POST", f.at.Entries[i]+"/v1/completions", f.at.Keys["accra"], "", completion("accra-drafts", "draft", 8, true))
+		assert.Equal(t, resp.StatusCode, http.StatusOK, text)
+		got, whole, failure := readStream(t, strings.NewReader(text), nil)
+		assert.Check(t, whole, failure)
+		assert.Check(t, cmp.Equal(got, emulator.Answer("accra-drafts@v1", "draft", 8)))
+	}
+}
--- a/internal/router/sink.go
+++ b/internal/router/sink.go
@@ -53,7 +53,9 @@
 	// before is the number of tokens that came from earlier streams of this request.
 	before int
 	// finish is the event with the finish reason, held back so that the usage can join it.
-	finish    []byte
+	finish []byte
+	// held is the text of finish, which the caller does not have yet.
+	held      string
 	finishes  string
 	usage     *usage
 	created   int64
@@ -67,6 +69,15 @@
 
 // restart prepares for another stream, which continues after what was sent.
 func (s *modelSink) restart() {
+	if s.held != "" {
+		// The last token was held back with its event, so the next stream must bring it again.
+		sent := strings.TrimSuffix(s.sent.String(), s.held)
+		s.sent.Reset()
+		s.sent.WriteString(sent)
+		s.tokens--
+		s.call.model.received = s.tokens
+		s.held = ""
+	}
 	s.before, s.done, s.finish = s.tokens, false, nil
 }
 
@@ -106,7 +117,7 @@
 		s.token(text)
 	}
 	if c.Choices[0].FinishReason != nil && s.call.model.plain {
-		s.finishes, s.finish = *c.Choices[0].FinishReason, raw
+		s.finishes, s.finish, s.held = *c.Choices[0].FinishReason, raw, text
 		return nil
 	}
 	if s.call.model.stream {
