--- a/internal/launcher/faults_test.go
+++ b/internal/launcher/faults_test.go
@@ -36,8 +36,8 @@
 	// faultTime is how long the faults of a schedule last.
 	faultTime    = 1500 * time.Millisecond
 	faultRoutes  = 6
-	smallRate    = 200
-	smallBurst   = 600
+	smallRate    = 60
+	smallBurst   = 180
 	bookingTries = 8
 	// askLimit ends a request that would hang. It is longer than each route's deadline.
 	askLimit = 25 * time.Second
@@ -239,7 +239,7 @@
 // load runs a mixed load until stop is closed.
 func (w *faultWorld) load(stop <-chan struct{}) *sync.WaitGroup {
 	var all sync.WaitGroup
-	kinds := []func(*rand.Rand){w.model, w.model, w.model, w.model, w.keyed, w.keyed, w.unkeyed, w.read, w.small, w.small, w.foreign}
+	kinds := []func(*rand.Rand){w.model, w.model, w.model, w.model, w.keyed, w.keyed, w.unkeyed, w.read, w.small, w.small, w.small, w.small, w.foreign}
 	for i, kind := range kinds {
 		all.Add(1)
 		rng := rand.New(rand.NewPCG(w.seed, uint64(i)))
