--- a/internal/router/sink.go
+++ b/internal/router/sink.go
@@ -55,7 +55,9 @@
 	// before is the number of tokens that came from earlier streams of this request.
 	before int
 	// finish is the event with the finish reason, held back so that the usage can join it.
-	finish   []byte
+	finish []byte
+	// held is the length of the part of encoded that came with finish, which the caller does not have yet.
+	held     int
 	finishes string
 	usage    *usage
 	created  int64
@@ -71,6 +73,13 @@
 
 // restart prepares for another stream, which continues after what was sent.
 func (s *modelSink) restart() {
+	if s.held > 0 {
+		// The last token was held back with its event, so the next stream must bring it again.
+		s.encoded = s.encoded[:len(s.encoded)-s.held]
+		s.tokens--
+		s.call.model.received = s.tokens
+		s.held = 0
+	}
 	s.before, s.done, s.finish = s.tokens, false, nil
 }
 
@@ -114,13 +123,14 @@
 		return nil
 	}
 	text := c.Choices[0].Text + c.Choices[0].Delta.Content
+	before := len(s.encoded)
 	if text != "" {
 		// A string always encodes.
 		quoted, _ := json.Marshal(text)
 		s.token(quoted[1 : len(quoted)-1])
 	}
 	if c.Choices[0].FinishReason != nil && s.call.model.plain {
-		s.finishes, s.finish = *c.Choices[0].FinishReason, raw
+		s.finishes, s.finish, s.held = *c.Choices[0].FinishReason, raw, len(s.encoded)-before
 		return nil
 	}
 	if s.call.model.stream {
