--- a/internal/experimenter/command.go
+++ b/internal/experimenter/command.go
@@ -64,7 +64,10 @@
 			return writeExperiment(e, c.Root().Writer, c.String("user"), c.Uint64("seed"), c.Int("seeds"), c.String("out"))
 		}})
 	}
-	return []*cli.Command{{Name: "experiment", Usage: "compare policies on the same traces in virtual time", Commands: commands}}
+	return []*cli.Command{{Name: "experiment", Usage: "compare policies on the same traces in virtual time", Commands: commands,
+		Action: func(_ context.Context, c *cli.Command) error {
+			return errors.Newf("no experiment %q; geraniumladder experiment list names them", c.Args().First())
+		}}}
 }
 
 // writeExperiment runs one experiment and writes its table and charts.
--- a/pkg/limiter/account.go
+++ b/pkg/limiter/account.go
@@ -29,7 +29,7 @@
 	NoDeposits bool
 }
 
-// DefaultPolicy returns the policy measured in docs/measurements-limits.md.
+// DefaultPolicy returns the policy measured in docs/measurements.md.
 func DefaultPolicy() Policy {
 	return Policy{
 		GrantLife: time.Second,
