--- a/internal/experimenter/report_test.go
+++ b/internal/experimenter/report_test.go
@@ -33,6 +33,12 @@
 		written, err := os.ReadFile(path)
 		assert.NilError(t, err)
 		assert.Assert(t, strings.HasPrefix(string(written), start))
+		drawn := chart
+		drawn.Values = [][]float64{{0, 10}, {0, 100}}
+		assert.NilError(t, drawn.Write(path))
+		other, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		assert.Assert(t, string(other) != string(written), "a missing value is drawn like zero")
 	}
 }
 
