Judge wrongful refusals where they are made, and count failures after the answer began by their code

Change: the lender says with a refusal whether the entries together held the tokens; the router counts every failure by its code; the recorder's comparison is gone.

--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -53,8 +53,6 @@
 	callers  net.Listener
 	peers    net.Listener
 	router   *router.Router
-	// share returns the tokens a second that the entry owns of an organisation's rate.
-	share    func(organisation string) (float64, bool)
 	recorder *reporter.Recorder
 	common
 }
@@ -143,17 +141,13 @@
 		Messenger: base.messenger, Signer: base.signer, Follower: follower, Lender: loans, Meter: base.meter, Log: log,
 		Seed: uint64(time.Now().UnixNano()),
 	})
-	e.share = func(name string) (float64, bool) {
-		organisation, known := follower.Current().Organisation(name)
-		return organisation.Rate / float64(len(loans.Entries())), known
-	}
 	e.recorder = e.newRecorder(reporter.DefaultEvery)
 	return e, nil
 }
 
 func (e *Entry) newRecorder(every time.Duration) *reporter.Recorder {
 	return reporter.NewRecorder(reporter.RecorderConfig{
-		Table: e.platform, VM: e.settings.VM, Gather: e.meter.Totals, Share: e.share, Every: every, Now: time.Now, Log: e.log,
+		Table: e.platform, VM: e.settings.VM, Gather: e.meter.Totals, Every: every, Now: time.Now, Log: e.log,
 	})
 }
 
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -120,6 +120,9 @@
 	Organisation string
 	// RetryAfter is when the tokens may be there; 0 when waiting does not help.
 	RetryAfter time.Duration
+	// WithinRate says that the entries together held the tokens, as far as this one knew, so that one bucket for the
+	// whole fleet would have admitted the request.
+	WithinRate bool
 }
 
 // Error implements error. The message names the remedy.
@@ -414,7 +417,10 @@
 	default:
 	}
 	a.waiters = slices.DeleteFunc(a.waiters, func(other *waiter) bool { return other == w })
-	return "", &Refusal{Kind: OverRate, Organisation: organisation, RetryAfter: retryAfter(a, tokens, l.now())}
+	now = l.now()
+	return "", &Refusal{
+		Kind: OverRate, Organisation: organisation, RetryAfter: retryAfter(a, tokens, now), WithinRate: a.FleetLevel(now) >= tokens,
+	}
 }
 
 // minRetry is the shortest RetryAfter: callers cannot express less than a second.
--- a/internal/reporter/recorder.go
+++ b/internal/reporter/recorder.go
@@ -56,9 +56,6 @@
 	VM    string
 	// Gather returns the totals by organisation since the process started.
 	Gather func() (map[string]meter.Totals, error)
-	// Share returns the tokens a second that this entry owns of the organisation's rate, and false when it is not known.
-	// With nil, every refusal over the rate counts as wrongful.
-	Share func(organisation string) (float64, bool)
 	// Every is DefaultEvery when 0.
 	Every time.Duration
 	// Now is time.Now when nil.
@@ -149,7 +146,7 @@
 	bucket := r.sampled.UTC().Truncate(BucketTime)
 	for organisation, t := range totals {
 		delta := difference(t, r.last[organisation])
-		counts := r.counts(organisation, delta, now.Sub(r.sampled))
+		counts := counts(delta)
 		if counts.Availability.Total == 0 && counts.FirstToken.Total == 0 && counts.BetweenTokens.Total == 0 {
 			continue
 		}
@@ -282,13 +279,13 @@
 	"bad_json", "bad_request", "bad_field", "no_model", "no_prompt", "no_messages", "bad_max_tokens", "broken_body", "key_in_request",
 	"bad_path", "bad_idempotency_key", "rejected_by_endpoint", "invalid_api_key", "key_withdrawn", "route_not_allowed",
 	"no_such_route", "no_such_service", "no_target", "no_such_page", "settled_ran", "answer_not_kept", "claim_contended",
-	"over_burst", "body_too_large", "idempotency_key_reused", "rate_limit_exceeded", "caller_gone",
+	"over_burst", "body_too_large", "idempotency_key_reused", "rate_limit_exceeded", "rate_limit_within_rate", "caller_gone",
 }
 
-// limitCodes are the refusals that are wrongful when the organisation is within its rate.
-var limitCodes = []string{"rate_limit_exceeded", "no_limit", "no_load_permit"}
+// limitCodes are the refusals of requests that one bucket for the whole fleet would have admitted.
+var limitCodes = []string{"rate_limit_within_rate", "no_limit", "no_load_permit"}
 
-func (r *Recorder) counts(organisation string, delta meter.Totals, took time.Duration) Counts {
+func counts(delta meter.Totals) Counts {
 	var requests, refused, byCaller, byLimit int64
 	for _, n := range delta.Requests {
 		requests += n
@@ -302,18 +299,11 @@
 			byLimit += n
 		}
 	}
-	// A failure after the answer began is counted as a request only.
-	begun := max(0, requests-delta.Requests["ok"]-refused)
-	if r.config.Share != nil {
-		if share, known := r.config.Share(organisation); known && float64(delta.Tokens) >= share*took.Seconds() {
-			byLimit = 0
-		}
-	}
 	// A request and its refusal are two counters; a sample between them holds only the refusal.
 	return Counts{
 		FirstToken: latency(delta.FirstToken), BetweenTokens: latency(delta.BetweenTokens),
 		WrongfulRefusals: Events{Total: requests, Good: max(0, requests-byLimit)},
-		Availability:     Events{Total: requests, Good: max(0, requests-(refused-byCaller)-begun)},
+		Availability:     Events{Total: requests, Good: max(0, requests-(refused-byCaller))},
 	}
 }
 
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"hash/fnv"
@@ -616,8 +617,7 @@
 	if cl != nil {
 		organisation = cl.organisation.Name
 	}
-	r.config.Meter.Refusal(organisation, failure.code)
-	r.config.Meter.Request(organisation, string(failure.outcome))
+	r.count(organisation, failure)
 	failure.write(w, requestID(req))
 }
 
@@ -629,12 +629,18 @@
 		return
 	}
 	if started {
-		r.config.Meter.Request(cl.organisation.Name, string(failure.outcome))
+		r.count(cl.organisation.Name, failure)
 		return
 	}
 	r.refuse(w, req, cl, failure)
 }
 
+// count counts a call that was refused or has failed.
+func (r *Router) count(organisation string, failure *callError) {
+	r.config.Meter.Refusal(organisation, cmp.Or(failure.reason, failure.code))
+	r.config.Meter.Request(organisation, string(failure.outcome))
+}
+
 // requestEnded is the message of the line that logEnd logs, which 'trace record' reads.
 const requestEnded = "entry: request ended"
 
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -25,6 +25,8 @@
 	message string
 	// retryAfter is sent when waiting helps.
 	retryAfter time.Duration
+	// reason is what metrics count it under; code when empty.
+	reason string
 }
 
 func (e *callError) Error() string { return e.message }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -205,10 +205,14 @@
 		return invalid(http.StatusRequestEntityTooLarge, "over_burst",
 			"the request needs more tokens than the organisation's burst; send a shorter prompt or a smaller max_tokens")
 	case refusal.Kind == lender.OverRate:
-		return &callError{
+		failure := &callError{
 			status: http.StatusTooManyRequests, outcome: notRun, kind: kindRate, code: "rate_limit_exceeded",
 			message: "the organisation is over its rate; send the request again after Retry-After", retryAfter: max(refusal.RetryAfter, time.Second),
 		}
+		if refusal.WithinRate {
+			failure.reason = "rate_limit_within_rate"
+		}
+		return failure
 	}
 	return unavailable("no_limit", "the organisation's limit is not known here yet; send the request again")
 }
--- a/pkg/limiter/account.go
+++ b/pkg/limiter/account.go
@@ -209,6 +209,15 @@
 	return max(p.level, min(a.bucket.cap, p.level+a.bucket.rate*(now-p.at).Seconds()))
 }
 
+// FleetLevel estimates the tokens that all entries hold together, from what the peers last said.
+func (a Account) FleetLevel(now time.Duration) float64 {
+	level := a.bucket.Advance(now).Level()
+	for _, p := range a.peers {
+		level += a.estimate(p, now)
+	}
+	return level
+}
+
 // Plan returns the loans to ask for now, given the tokens of the requests that wait, in their order. It aims at a
 // level that is the average of all after these requests. A peer whose answer is outstanding is not asked.
 func (a Account) Plan(needs []float64, now time.Duration) []Ask {
