--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"geraniumladder/internal/looper"
 	"geraniumladder/internal/messenger"
 	"geraniumladder/internal/wire"
 )
@@ -217,35 +218,19 @@
 
 // Run does the background work of the sidecar until ctx ends. Stop the sidecar with Leave before.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	d.findEntries(ctx)
 	d.wake()
-	loops := []func(context.Context) error{
+	loops := []looper.Loop{
 		d.heartbeats,
-		every(tickEvery, func(context.Context) { d.tick() }),
-		every(listEvery, d.findEntries),
+		looper.Every(tickEvery, func(context.Context) { d.tick() }),
+		looper.Every(listEvery, d.findEntries),
 		d.collect,
 	}
 	if d.engine != nil {
-		loops = append(loops, every(reportEvery, d.readResident), d.lease.run)
-	}
-	ends := make(chan error, len(loops))
-	for _, loop := range loops {
-		go func() { ends <- loop(ctx) }()
-	}
-	var first error
-	for range loops {
-		// The lease's loop ends by itself after the release; the others end with ctx.
-		if err := <-ends; err != nil && first == nil {
-			first = err
-			cancel()
-		}
-	}
-	if errors.Is(first, context.Canceled) {
-		return nil
+		// The lease's loop ends by itself after the release.
+		loops = append(loops, looper.Every(reportEvery, d.readResident), d.lease.run)
 	}
-	return first
+	return looper.Run(ctx, loops...)
 }
 
 // awaitPushes waits until each entry in reach has been told.
@@ -288,21 +273,6 @@
 	}
 }
 
-func every(interval time.Duration, work func(context.Context)) func(context.Context) error {
-	return func(ctx context.Context) error {
-		ticker := time.NewTicker(interval)
-		defer ticker.Stop()
-		for {
-			work(ctx)
-			select {
-			case <-ticker.C:
-			case <-ctx.Done():
-				return ctx.Err()
-			}
-		}
-	}
-}
-
 // Leave is the planned stop: the entries are told, no new work is accepted, and Leave returns when the running
 // requests have ended whole and been kept long enough for their readers, or when ctx ends.
 func (d *Dispatcher) Leave(ctx context.Context) error {
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -262,11 +262,17 @@
 	return body, nil
 }
 
-func (r *Router) handleModel(c echo.Context) error {
-	req, w := c.Request(), c.Response()
-	cl, failure := r.modelCall(req)
-	if failure != nil {
-		r.refuse(w, req, cl, failure)
+// sink passes an answer on to a caller.
+type sink interface {
+	// hasStarted says whether a part of the answer has been passed on.
+	hasStarted() bool
+}
+
+// serve admits and runs a call and answers its failure, checked included, which is that of the checks before. It returns
+// the failure of a call whose answer has begun; the caller of serve tells it in the answer's own way.
+func (r *Router) serve(req *http.Request, w http.ResponseWriter, cl *call, checked *callError, s sink, forward func(context.Context) *callError) *callError {
+	if checked != nil {
+		r.refuse(w, req, cl, checked)
 		return nil
 	}
 	release, failure := r.open(cl)
@@ -277,10 +283,20 @@
 	defer release()
 	ctx, cancel := r.callContext(req.Context(), cl)
 	defer cancel()
+	failure = r.admit(ctx, cl, func() *callError { return forward(ctx) })
+	r.finish(w, req, cl, s.hasStarted(), failure)
+	if s.hasStarted() {
+		return failure
+	}
+	return nil
+}
+
+func (r *Router) handleModel(c echo.Context) error {
+	req, w := c.Request(), c.Response()
+	cl, failure := r.modelCall(req)
 	sink := newModelSink(w, cl, r)
-	failure = r.admit(ctx, cl, func() *callError { return r.forwardModel(ctx, cl, sink) })
-	r.finish(w, req, cl, sink.started, failure)
-	if failure != nil && sink.started {
+	failure = r.serve(req, w, cl, failure, sink, func(ctx context.Context) *callError { return r.forwardModel(ctx, cl, sink) })
+	if failure != nil {
 		sink.abort(failure)
 	}
 	return nil
@@ -319,22 +335,9 @@
 func (r *Router) handleService(c echo.Context) error {
 	req, w := c.Request(), c.Response()
 	cl, failure := r.serviceCall(req, c.Param("route"))
-	if failure != nil {
-		r.refuse(w, req, cl, failure)
-		return nil
-	}
-	release, failure := r.open(cl)
-	if failure != nil {
-		r.refuse(w, req, cl, failure)
-		return nil
-	}
-	defer release()
-	ctx, cancel := r.callContext(req.Context(), cl)
-	defer cancel()
 	sink := &serviceSink{w: w}
-	failure = r.admit(ctx, cl, func() *callError { return r.forwardService(ctx, req, cl, sink) })
-	r.finish(w, req, cl, sink.started, failure)
-	if failure != nil && sink.started {
+	failure = r.serve(req, w, cl, failure, sink, func(ctx context.Context) *callError { return r.forwardService(ctx, req, cl, sink) })
+	if failure != nil {
 		// The answer has begun, so the only way to tell the caller that it is not whole is to break the connection.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"geraniumladder/internal/configurer"
 	"geraniumladder/internal/dispatcher"
 	"geraniumladder/internal/lender"
+	"geraniumladder/internal/looper"
 	"geraniumladder/internal/merger"
 	"geraniumladder/internal/messenger"
 	"geraniumladder/internal/meter"
@@ -219,49 +220,17 @@
 
 // Run does the background work of the entry until ctx ends. Stop the entry with Drain before.
 func (r *Router) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	loops := []func(context.Context) error{
+	return looper.Run(ctx,
 		r.config.Follower.Run,
 		r.config.Lender.Run,
 		r.followChanges,
-		every(listEvery, r.readList),
-		every(stateEvery, func(context.Context) {
+		looper.Every(listEvery, r.readList),
+		looper.Every(stateEvery, func(context.Context) {
 			r.mu.Lock()
 			r.refreshStates(r.elapsed())
 			r.mu.Unlock()
 		}),
-	}
-	ends := make(chan error, len(loops))
-	for _, loop := range loops {
-		go func() { ends <- loop(ctx) }()
-	}
-	var first error
-	for range loops {
-		if err := <-ends; err != nil && first == nil {
-			first = err
-			cancel()
-		}
-	}
-	if errors.Is(first, context.Canceled) {
-		return nil
-	}
-	return first
-}
-
-func every(interval time.Duration, work func(context.Context)) func(context.Context) error {
-	return func(ctx context.Context) error {
-		ticker := time.NewTicker(interval)
-		defer ticker.Stop()
-		for {
-			work(ctx)
-			select {
-			case <-ticker.C:
-			case <-ctx.Done():
-				return ctx.Err()
-			}
-		}
-	}
+	)
 }
 
 // followChanges puts each new revision in force here: limits, and the end of calls whose key was withdrawn.
--- a/internal/router/sink.go
+++ b/internal/router/sink.go
@@ -71,6 +71,8 @@
 	return &modelSink{w: w, call: cl, router: r, flush: func() { _ = controller.Flush() }}
 }
 
+func (s *modelSink) hasStarted() bool { return s.started }
+
 // restart prepares for another stream, which continues after what was sent.
 func (s *modelSink) restart() {
 	if s.held > 0 {
@@ -285,6 +287,8 @@
 	bytes int64
 }
 
+func (s *serviceSink) hasStarted() bool { return s.started }
+
 func (s *serviceSink) begin(status int, header http.Header, requestID string) {
 	if s.started {
 		return
