--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -77,6 +77,8 @@
 	service     *service
 	lease       *leaseKeeper
 	entries     *entryList
+	// relistAt is when the platform's list is read again; findEntries alone uses it.
+	relistAt time.Duration
 	// work is the context of spawned goroutines, of which spawned counts those whose end has not been read from ends.
 	work     context.Context
 	stopWork context.CancelFunc
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -19,8 +20,16 @@
 const (
 	// heartbeatTimeout bounds one push, so that one silent entry does not delay the others' news.
 	heartbeatTimeout = 2 * time.Second
-	// listEvery paces the reading of the platform's list, by which the first entry is found.
+	// listEvery paces the look for entries, by which the first one is found in the platform's list.
 	listEvery = 2 * time.Second
+	// relistEvery is how often the list is read while an entry answers, whose answers name the others. Reading it
+	// each time would be nine tenths of a sidecar's control bytes at 750 VMs (docs/CAPACITY.md).
+	relistEvery = time.Minute
+	// relistSpread spreads these reads, so that sidecars that were started together do not read together.
+	relistSpread = 20 * time.Second
+	// answeredWithin is how recent an entry's answer must be for the list to be left alone: two of the longest
+	// heartbeat intervals.
+	answeredWithin = time.Minute
 	// unreachableFor is how long an entry is pushed to without an answer before only the list brings it back.
 	unreachableFor = time.Minute
 )
@@ -40,8 +49,9 @@
 	// resident is the residency that the entry has, after deltas changes since its descriptor.
 	resident []string
 	deltas   int64
-	// answered is the time of the last answer, or of the discovery.
+	// answered is the time of the last answer, or of the discovery; heard says that there was an answer.
 	answered time.Duration
+	heard    bool
 	// busy says that a push is under way; again asks for another one after it.
 	busy, again bool
 }
@@ -68,6 +78,18 @@
 	return peers
 }
 
+func (l *entryList) answered(p *peer, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.answered, p.heard = now, true
+}
+
+func (l *entryList) lastAnswer(p *peer) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return p.answered
+}
+
 func (l *entryList) remove(address string) {
 	l.mu.Lock()
 	delete(l.peers, address)
@@ -133,12 +155,13 @@
 		d.log.Debug().Err(err).Str("Entry", p.address).Msg("sidecar: heartbeat not answered")
 		// What the entry has is not known, so it gets the full descriptor next.
 		p.hash = ""
-		if now-p.answered > unreachableFor {
+		if now-d.entries.lastAnswer(p) > unreachableFor {
 			d.entries.remove(p.address)
 		}
 		return
 	}
-	p.answered, p.hash, p.resident = now, hash, resident
+	d.entries.answered(p, now)
+	p.hash, p.resident = hash, resident
 	if reply.WantDescriptor {
 		p.hash = ""
 		d.wake()
@@ -219,8 +242,25 @@
 	}
 }
 
+// answering says whether an entry has answered lately.
+func (l *entryList) answering(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		if p.heard && now-p.answered < answeredWithin {
+			return true
+		}
+	}
+	return false
+}
+
 // findEntries adds the entries of the platform's list.
 func (d *Dispatcher) findEntries(ctx context.Context) {
+	now := d.elapsed()
+	if now < d.relistAt && d.entries.answering(now) {
+		return
+	}
+	d.relistAt = now + relistEvery + rand.N(relistSpread)
 	list, err := d.config.Platform.List(ctx)
 	if err != nil {
 		d.log.Debug().Err(err).Msg("sidecar: list of VMs not read")
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -118,6 +118,9 @@
 	if err := r.config.Follower.MayServe(r.now()); err != nil {
 		return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
 	}
+	if !r.hasEndpoints() {
+		return c.String(http.StatusServiceUnavailable, "starting: no endpoint is known yet\n")
+	}
 	return c.String(http.StatusOK, "ok\n")
 }
 
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -136,6 +136,17 @@
 	r.view = r.view.WithState(m.VM, m.Incarnation, placerState(m.State))
 }
 
+// startLimit is how long a new entry fails /healthz while it knows no endpoint. After it, the fleet has none.
+const startLimit = 15 * time.Second
+
+// hasEndpoints says whether the balancer may send requests here: a new entry is told of the endpoints by their next
+// heartbeats.
+func (r *Router) hasEndpoints() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.Len() > 0 || r.elapsed() > startLimit
+}
+
 func placerState(s tracker.State) placer.State {
 	switch s {
 	case tracker.Live:
