dispatcher: a planned stop waits for slow readers

Cause: the sidecar counted itself idle when its runs had ended, although a reader could still lack a part of an answer; the server then closed after five seconds. Found by reading. Change: a stop waits until nobody reads. TestLeaveWaitsForReaders fails without it. Log lines of the lender follow the others'.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -692,6 +692,12 @@
 	if !d.leaving || d.running > 0 || len(d.aside) > 0 || d.queue.Load().Requests > 0 || len(d.slots.Loading()) > 0 {
 		return
 	}
+	for _, r := range d.runs {
+		// A slow reader must get the rest of its answer before the process ends.
+		if r.answer.hasReaders() {
+			return
+		}
+	}
 	select {
 	case <-d.idle:
 	default:
--- /dev/null
+++ b/internal/dispatcher/leave_test.go
@@ -0,0 +1,102 @@
+package dispatcher_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"geraniumladder/internal/authenticator"
+	"geraniumladder/internal/configurer"
+	"geraniumladder/internal/dispatcher"
+	"geraniumladder/internal/messenger"
+	"geraniumladder/internal/meter"
+	"geraniumladder/internal/storer"
+	"geraniumladder/internal/wire"
+)
+
+// answerBytes is more than the buffers between sidecar and reader hold.
+const answerBytes = 32 << 20
+
+// Guards against a planned stop that ends while a slow reader still lacks a part of an answer whose run has ended.
+func TestLeaveWaitsForReaders(t *testing.T) {
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(bytes.Repeat([]byte("x"), answerBytes))
+	}))
+	defer service.Close()
+	d, client, address := startSidecar(t, service.URL)
+
+	header, err := json.Marshal(wire.RunHeader{
+		RequestID: "r1", Attempt: 1, Incarnation: d.Incarnation(), Organisation: "o", Weight: 1, RemainingMs: 60_000,
+	})
+	assert.NilError(t, err)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, dispatcher.RunPath, http.NoBody)
+	assert.NilError(t, err)
+	req.Header.Set(dispatcher.RunHeaderName, string(header))
+	req.Header.Set(dispatcher.MethodHeader, http.MethodPost)
+	req.Header.Set(dispatcher.TargetHeader, "/exports")
+	resp, err := client.Do(req, address)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+
+	left := make(chan error, 1)
+	go func() { left <- d.Leave(t.Context()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status := d.Status(); status.State == "leaving" && status.Load.Running == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the run has not ended")
+	}, poll.WithTimeout(time.Minute))
+	select {
+	case err := <-left:
+		t.Fatalf("left before the answer was read: %v", err)
+	case <-time.After(time.Second):
+		// Leave looks again four times a second.
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(answerBytes))
+	assert.Equal(t, resp.Trailer.Get(dispatcher.EndTrailer), "r1")
+	assert.NilError(t, <-left)
+}
+
+func startSidecar(t *testing.T, service string) (*dispatcher.Dispatcher, *messenger.Messenger, string) {
+	t.Helper()
+	signer, err := authenticator.New(authenticator.Config{Secret: "0123456789abcdef"})
+	assert.NilError(t, err)
+	instruments, err := meter.New(meter.Config{Role: "sidecar", VM: "s1"})
+	assert.NilError(t, err)
+	client := messenger.New(messenger.Config{Signer: signer})
+	settings := configurer.Defaults[configurer.Sidecar]()
+	settings.VM, settings.Endpoint.URL, settings.Endpoint.Kind, settings.Endpoint.Service = "s1", service, "service", "exports"
+	d := dispatcher.New(dispatcher.Config{
+		Settings: settings, Platform: storer.NewMemory(), Messenger: client, Signer: signer, Meter: instruments, Log: zerolog.Nop(),
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := messenger.NewServer(messenger.ServerConfig{Handler: d.Handler()})
+	ctx, cancel := context.WithCancel(context.Background())
+	ends := make(chan error, 2)
+	go func() { ends <- server.Serve(listener) }()
+	go func() { ends <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		client.Close()
+		_ = server.Close()
+		for range cap(ends) {
+			if err := <-ends; err != nil {
+				t.Log(err)
+			}
+		}
+	})
+	return d, client, listener.Addr().String()
+}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -616,7 +616,7 @@
 			var reports []limiter.Report
 			a.Account, reports = a.WithFailed(id, now)
 			l.send(organisation, reports)
-			l.config.Log.Debug().Err(err).Str("peer", ask.Lender).Msg("entry: A peer did not answer a request for a loan.")
+			l.config.Log.Debug().Err(err).Str("Peer", ask.Lender).Msg("entry: peer did not answer a request for a loan")
 			return
 		}
 		var reports []limiter.Report
@@ -690,7 +690,7 @@
 		l.epoch = l.epoch.WithTaken()
 	}
 	if num*beforeDen != before*den {
-		l.config.Log.Info().Int64("epoch", l.epoch.Number()).Int("num", num).Int("den", den).Msg("entry: The share of the limits has changed.")
+		l.config.Log.Info().Int64("Epoch", l.epoch.Number()).Int("Numerator", num).Int("Denominator", den).Msg("entry: share of the limits changed")
 	}
 }
 
@@ -720,7 +720,7 @@
 				// Entries that start together would otherwise collide again and again.
 				wait = conflictPause + time.Duration(uuid.New().ID()%uint32(conflictPause.Milliseconds()))*time.Millisecond
 			} else if ctx.Err() == nil {
-				l.config.Log.Warn().Err(err).Msg("entry: The epoch row cannot be read or written.")
+				l.config.Log.Warn().Err(err).Msg("entry: epoch row not read or written")
 			}
 		}
 		timer := time.NewTimer(wait)
--- a/internal/lender/peers.go
+++ b/internal/lender/peers.go
@@ -200,7 +200,7 @@
 		// The levels may not have arrived.
 		p.told = map[string]float64{}
 		l.mutex.Unlock()
-		l.config.Log.Debug().Err(err).Str("peer", p.address).Msg("entry: A peer did not answer an exchange.")
+		l.config.Log.Debug().Err(err).Str("Peer", p.address).Msg("entry: peer did not answer an exchange")
 		return
 	}
 	p.answered = now
@@ -232,7 +232,7 @@
 func (l *Lender) followList(ctx context.Context) {
 	for {
 		if err := l.updateList(ctx); err != nil && ctx.Err() == nil {
-			l.config.Log.Warn().Err(err).Msg("entry: The list of VMs cannot be read.")
+			l.config.Log.Warn().Err(err).Msg("entry: list of VMs not read")
 		}
 		if !pause(ctx, epochEvery) {
 			return
