--- /dev/null
+++ b/internal/inspector/inspector_test.go
@@ -0,0 +1,85 @@
+package inspector_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"geraniumladder/internal/inspector"
+	"geraniumladder/internal/storer"
+	"geraniumladder/internal/wire"
+)
+
+var created = time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+
+func claimed(t *testing.T, state wire.ClaimRowState) *storer.Memory {
+	t.Helper()
+	data, err := json.Marshal(wire.ClaimRow{
+		RequestID: "req-1", State: state, CreatedMs: created.UnixMilli(), DeadlineMs: created.Add(time.Minute).UnixMilli(),
+	})
+	assert.NilError(t, err)
+	table := storer.NewMemory()
+	assert.NilError(t, table.Put(t.Context(), storer.Row{Pk: "claim", Sk: "accra/order/17", Data: data}, 0))
+	return table
+}
+
+// Guards against settling a call that may still run, which would let a retry run it a second time, and against
+// overwriting what is known.
+func TestSettle(t *testing.T) {
+	const refused = wire.ClaimRowState("")
+	for _, c := range []struct {
+		name  string
+		state wire.ClaimRowState
+		after time.Duration
+		ran   bool
+		want  wire.ClaimRowState
+	}{
+		{"unknown, found to have run", wire.ClaimRowStateUnknown, time.Second, true, wire.ClaimRowStateSettledRan},
+		{"unknown, may still run", wire.ClaimRowStateUnknown, 10 * time.Minute, false, refused},
+		{"unknown, can no longer run", wire.ClaimRowStateUnknown, 10*time.Minute + time.Second, false, wire.ClaimRowStateSettledNotRun},
+		{"claimed, before its deadline", wire.ClaimRowStateClaimed, time.Minute, true, refused},
+		{"claimed, after its deadline", wire.ClaimRowStateClaimed, time.Minute + time.Second, true, wire.ClaimRowStateSettledRan},
+		{"claimed, may still run", wire.ClaimRowStateClaimed, 2 * time.Minute, false, refused},
+		{"done", wire.ClaimRowStateDone, time.Hour, false, refused},
+		{"settled before", wire.ClaimRowStateSettledRan, time.Hour, false, refused},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := claimed(t, c.state)
+			i := inspector.New(inspector.Config{Platform: table, Now: func() time.Time { return created.Add(c.after) }})
+			err := i.Settle(t.Context(), "accra", "order/17", c.ran, "the ledger was read")
+			if c.want == refused {
+				var settle *inspector.SettleError
+				assert.Assert(t, errors.As(err, &settle), "%v", err)
+				c.want = c.state
+			} else {
+				assert.NilError(t, err)
+			}
+			calls, err := i.Calls(t.Context(), c.want)
+			assert.NilError(t, err)
+			assert.Equal(t, len(calls), 1)
+			assert.Equal(t, calls[0].Organisation, "accra")
+			assert.Equal(t, calls[0].Key, "order/17")
+		})
+	}
+}
+
+// Guards against calls that are missing from a long list, and against one that hides that the table did not answer.
+func TestCallsReadsAllPages(t *testing.T) {
+	table := claimed(t, wire.ClaimRowStateUnknown)
+	for n := range 1_200 {
+		data, err := json.Marshal(wire.ClaimRow{State: wire.ClaimRowStateDone, CreatedMs: created.UnixMilli()})
+		assert.NilError(t, err)
+		sk := "accra/" + time.Duration(n).String()
+		assert.NilError(t, table.Put(t.Context(), storer.Row{Pk: "claim", Sk: sk, Data: data}, 0))
+	}
+	i := inspector.New(inspector.Config{Platform: table})
+	done, err := i.Calls(t.Context(), wire.ClaimRowStateDone)
+	assert.NilError(t, err)
+	assert.Equal(t, len(done), 1_200)
+	table.SetFault(storer.Fault{Down: true})
+	_, err = i.Calls(t.Context(), wire.ClaimRowStateDone)
+	assert.Assert(t, storer.IsKind(err, storer.Unavailable), "%v", err)
+}
--- /dev/null
+++ b/internal/launcher/openai_test.go
@@ -0,0 +1,50 @@
+package launcher_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+
+	"geraniumladder/internal/emulator"
+)
+
+// Guards against answers, streams or errors that a public client library of the OpenAI API does not understand.
+func TestPublicClientLibraryWorksUnchanged(t *testing.T) {
+	f := startFleet(t)
+	client := openai.NewClient(option.WithBaseURL(f.at.Entries[0]+"/v1"), option.WithAPIKey(f.at.Keys["accra"]))
+	route := f.at.Routes.Model["accra"]
+	want := emulator.Answer("accra-drafts@v1", emulator.ChatPrompt(false, [2]string{"user", "a quote"}), 5)
+	params := openai.ChatCompletionNewParams{
+		Model: route, MaxTokens: openai.Int(5), Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("a quote")},
+	}
+
+	whole, err := client.Chat.Completions.New(t.Context(), params)
+	assert.NilError(t, err)
+	assert.Equal(t, whole.Choices[0].Message.Content, want)
+	assert.Equal(t, whole.Usage.CompletionTokens, int64(5))
+
+	stream := client.Chat.Completions.NewStreaming(t.Context(), params)
+	text := ""
+	for stream.Next() {
+		for _, choice := range stream.Current().Choices {
+			text += choice.Delta.Content
+		}
+	}
+	assert.NilError(t, stream.Err())
+	assert.Equal(t, text, want)
+
+	models, err := client.Models.List(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(models.Data), 2)
+
+	params.Model = f.at.Routes.Model["vunidawa"]
+	_, err = client.Chat.Completions.New(t.Context(), params)
+	var refused *openai.Error
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.StatusCode, http.StatusForbidden)
+	assert.Equal(t, refused.Code, "route_not_allowed")
+}
