--- a/internal/reporter/page.go
+++ b/internal/reporter/page.go
@@ -84,6 +84,8 @@
 	p := plot.New()
 	p.Title.Text, p.Y.Label.Text, p.Y.Min = "Burn rate by window", "burn rate", 0
 	p.Legend.Top = true
+	// On the left the text follows the swatch, so that a browser with a wider font does not draw one over the other.
+	p.Legend.Left = true
 	for i, l := range lines {
 		values := plotter.Values{}
 		for _, w := range l.Windows {
@@ -115,6 +117,7 @@
 	p := plot.New()
 	p.Title.Text, p.Y.Label.Text = "Good events over time", "share of good events"
 	p.X.Label.Text = "hours before the report"
+	p.Legend.Left = true
 	lowest := 0.9
 	for i, l := range lines {
 		points := plotter.XYs{}
