--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -203,19 +203,6 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func kindOf(err error) (storer.Kind, bool) {
-	var e *storer.Error
-	if errors.As(err, &e) {
-		return e.Kind, true
-	}
-	return 0, false
-}
-
-func isKind(err error, kind storer.Kind) bool {
-	k, ok := kindOf(err)
-	return ok && k == kind
-}
-
 // marshal encodes without the HTML escapes of json.Marshal, which triple the length of < > and &.
 func marshal(v any) ([]byte, error) {
 	var b bytes.Buffer
@@ -254,7 +241,7 @@
 
 func readHead(ctx context.Context, table storer.Table) (wire.HeadRow, int64, error) {
 	row, err := table.Get(ctx, headPk, headSk)
-	if isKind(err, storer.NotFound) {
+	if storer.IsKind(err, storer.NotFound) {
 		return wire.HeadRow{}, 0, nil
 	}
 	if err != nil {
@@ -492,10 +479,10 @@
 		c.result = result
 		return true, nil
 	}
-	if isKind(err, storer.Invalid) {
+	if storer.IsKind(err, storer.Invalid) {
 		return true, err
 	}
-	if !isKind(err, storer.Conflict) {
+	if !storer.IsKind(err, storer.Conflict) {
 		c.unknown, c.attempted = result.Revision, result
 	}
 	// A condition can also fail because an earlier attempt of this commit took effect after all.
@@ -512,10 +499,10 @@
 
 // done says whether an error ends the commit: only errors that a new attempt cannot pass do.
 func (c *commit) done(err error) (bool, error) {
-	if errors.Is(err, errMoved) || isKind(err, storer.Unavailable) || isKind(err, storer.NotFound) || isKind(err, storer.Conflict) {
+	if errors.Is(err, errMoved) || storer.IsKind(err, storer.Unavailable) || storer.IsKind(err, storer.NotFound) || storer.IsKind(err, storer.Conflict) {
 		return false, err
 	}
-	if _, ok := kindOf(err); !ok && errors.IsAny(err, context.Canceled, context.DeadlineExceeded) {
+	if !errors.HasType(err, (*storer.Error)(nil)) && errors.IsAny(err, context.Canceled, context.DeadlineExceeded) {
 		return false, err
 	}
 	return true, err
@@ -524,7 +511,7 @@
 // isOurs says whether revision number was committed with this commit's mark.
 func (c *commit) isOurs(ctx context.Context, number int64) (bool, error) {
 	row, err := c.Table.Get(ctx, deltaPk, deltaSk(number))
-	if isKind(err, storer.NotFound) {
+	if storer.IsKind(err, storer.NotFound) {
 		return false, nil
 	}
 	if err != nil {
@@ -640,7 +627,7 @@
 		if s, err = c.read(ctx); err == nil {
 			return s, nil
 		}
-		if !errors.Is(err, errMoved) && !isKind(err, storer.Unavailable) && !isKind(err, storer.NotFound) {
+		if !errors.Is(err, errMoved) && !storer.IsKind(err, storer.Unavailable) && !storer.IsKind(err, storer.NotFound) {
 			return s, err
 		}
 	}
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -198,7 +199,7 @@
 			report(path, "is not set", "add "+path+": "+tag.Get("doc"))
 			return
 		}
-		if choices := tag.Get("oneof"); choices != "" && !contains(strings.Fields(choices), value.String()) {
+		if choices := tag.Get("oneof"); choices != "" && !slices.Contains(strings.Fields(choices), value.String()) {
 			report(path, fmt.Sprintf("is %q", value.String()), "give one of: "+choices)
 		}
 		if tag.Get("min") != "" && !withinRange(value, tag.Get("min"), tag.Get("max")) {
@@ -207,15 +208,6 @@
 	})
 }
 
-func contains(list []string, s string) bool {
-	for _, have := range list {
-		if have == s {
-			return true
-		}
-	}
-	return false
-}
-
 func withinRange(value reflect.Value, low, high string) bool {
 	bound := func(text string) float64 {
 		limit := reflect.New(value.Type()).Elem()
--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -267,7 +267,7 @@
 	resp, err := r.engine.stream(ctx, engineID(r.header), path, body, r.last)
 	opened.Stop()
 	if err != nil {
-		if r.last < 0 && isDialError(err) {
+		if r.last < 0 && messenger.NeverOpened(err) {
 			return &wire.RunError{Code: wire.RunErrorCodeEngineFailed, Outcome: wire.RunErrorOutcomeNotRun,
 				Message: "the engine refuses connections; retry elsewhere", RequestID: r.header.RequestID}, false
 		}
@@ -394,12 +394,6 @@
 	return fmt.Sprintf("attempt-%d-%s", header.Attempt, header.RequestID)
 }
 
-// isDialError says that no connection was opened, so that nothing can have been sent.
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // modelName is what the engine calls an adapter version.
 func modelName(header wire.RunHeader) string {
 	if header.Adapter == "" {
--- a/internal/emulator/objects.go
+++ b/internal/emulator/objects.go
@@ -57,7 +57,7 @@
 
 func (o *Objects) get(e echo.Context) error {
 	body, err := o.store.GetObject(e.Request().Context(), objectKey(e))
-	if kindIs(err, storer.NotFound) {
+	if storer.IsKind(err, storer.NotFound) {
 		return e.XML(http.StatusNotFound, objectError{Code: "NoSuchKey", Message: "The specified key does not exist.", Key: e.Param("*")})
 	}
 	if err != nil {
--- a/internal/emulator/table.go
+++ b/internal/emulator/table.go
@@ -218,7 +218,7 @@
 		return nil, err
 	}
 	row, err := t.store.Get(ctx, pk, sk)
-	if kindIs(err, storer.NotFound) {
+	if storer.IsKind(err, storer.NotFound) {
 		return struct{}{}, nil
 	}
 	if err != nil {
@@ -326,9 +326,9 @@
 	switch {
 	case err == nil:
 		return struct{}{}, nil
-	case kindIs(err, storer.Invalid):
+	case storer.IsKind(err, storer.Invalid):
 		return nil, invalid("%v", err)
-	case !kindIs(err, storer.Conflict):
+	case !storer.IsKind(err, storer.Conflict):
 		return nil, err
 	case !transaction:
 		return nil, &tableError{Type: errorPrefix + "ConditionalCheckFailedException", Message: "The conditional request failed"}
@@ -404,8 +404,3 @@
 	}
 	return storer.Row{Pk: *pk, Sk: *sk, Data: []byte(*data), Version: version, Mark: *mark}, nil
 }
-
-func kindIs(err error, kind storer.Kind) bool {
-	e := new(storer.Error)
-	return errors.As(err, &e) && e.Kind == kind
-}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -715,8 +715,7 @@
 	for {
 		wait := epochEvery
 		if err := l.updateEpoch(ctx); err != nil {
-			var e *storer.Error
-			if errors.As(err, &e) && e.Kind == storer.Conflict {
+			if storer.IsKind(err, storer.Conflict) {
 				// Entries that start together would otherwise collide again and again.
 				wait = conflictPause + time.Duration(uuid.New().ID()%uint32(conflictPause.Milliseconds()))*time.Millisecond
 			} else if ctx.Err() == nil {
@@ -748,8 +747,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storer.DefaultCallTimeout)
 	defer cancel()
 	stored, err := l.config.Table.Get(ctx, epochPk, epochSk)
-	var e *storer.Error
-	if errors.As(err, &e) && e.Kind == storer.NotFound {
+	if storer.IsKind(err, storer.NotFound) {
 		stored, err = storer.Row{Pk: epochPk, Sk: epochSk}, nil
 	}
 	if err != nil {
@@ -775,7 +773,7 @@
 	}
 	mark := uuid.NewString()
 	err = l.config.Table.Put(ctx, storer.Row{Pk: epochPk, Sk: epochSk, Data: data, Mark: mark}, stored.Version)
-	if errors.As(err, &e) && e.Kind == storer.Unavailable {
+	if storer.IsKind(err, storer.Unavailable) {
 		// The answer may have been lost after the write took effect.
 		if back, readErr := l.config.Table.Get(ctx, epochPk, epochSk); readErr == nil && back.Mark == mark {
 			err = nil
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -99,6 +99,12 @@
 	return m.client.Do(req)
 }
 
+// NeverOpened says that no connection was opened for a request, so that nothing of it can have been sent.
+func NeverOpened(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // Call posts in as JSON to address and path, and decodes the answer into out unless out is nil.
 func (m *Messenger) Call(ctx context.Context, address, path string, in, out any) error {
 	body, err := json.Marshal(in)
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -573,15 +574,7 @@
 	}
 	h := fnv.New64a()
 	_, _ = h.Write(start[:min(len(start), prefixBytes)])
-	return string(appendHex(nil, h.Sum64())), tokensOf(len(start))
-}
-
-func appendHex(to []byte, n uint64) []byte {
-	const digits = "0123456789abcdef"
-	for shift := 60; shift >= 0; shift -= 4 {
-		to = append(to, digits[n>>shift&15])
-	}
-	return to
+	return fmt.Sprintf("%016x", h.Sum64()), tokensOf(len(start))
 }
 
 // engineBody is the body for the engine: always a stream, on the adapter version, from the text already sent on.
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -395,7 +394,7 @@
 func (r *Router) openAnswer(req *http.Request, requestID, address string) (*http.Response, *result) {
 	resp, err := r.config.Messenger.Do(req, address)
 	if err != nil {
-		return nil, &result{neverOpened: isDialError(err)}
+		return nil, &result{neverOpened: messenger.NeverOpened(err)}
 	}
 	if text := resp.Header.Get(dispatcher.FailureTrailer); text != "" {
 		defer func() { _ = resp.Body.Close() }()
@@ -413,11 +412,6 @@
 	return resp, nil
 }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // readStream passes the events of an answer on. It returns nil when the answer was whole.
 func (r *Router) readStream(resp *http.Response, cl *call, d *dispatch, sink *modelSink) *result {
 	defer func() { _ = resp.Body.Close() }()
