Serve the users' platform: entries that reach endpoints directly, sidecars that load adapters

Thin whole path on the platform. New core packages hold the decisions (selector, tally) and the I/O (connector, forwarder, gossiper, registrar, sharer, orderer, resident); platform/ translates names, formats and calls.

--- a/cmd/geraniumladder/main.go
+++ b/cmd/geraniumladder/main.go
@@ -17,6 +17,7 @@
 	"geraniumladder/internal/operator"
 	"geraniumladder/internal/replayer"
 	"geraniumladder/internal/reporter"
+	"geraniumladder/platform"
 )
 
 func main() {
@@ -34,7 +35,7 @@
 			replayer.Commands(),
 			reporter.Commands(),
 			experimenter.Commands(),
-			[]*cli.Command{emulator.Commands()},
+			[]*cli.Command{emulator.Commands(), platform.Command()},
 		),
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
--- /dev/null
+++ b/internal/orderer/orderer.go
@@ -0,0 +1,398 @@
+// Package orderer is the process beside a model engine. It alone gives that engine orders, loads the adapters that the
+// entries ask for, and tells the entries what the engine holds and how busy it is. It owns the demand of the entries,
+// as they last told it, and the fencing number of its orders. When the platform's store is away at its start, it gives
+// no orders until it has a number; with a number it needs the store no more.
+package orderer
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"geraniumladder/internal/wire"
+)
+
+const (
+	// quietEvery and busyEvery are the times between two reads of the engine's report: the engine itself reports with a
+	// lag of some hundred milliseconds to others, and a load takes a quarter of a second.
+	quietEvery = 100 * time.Millisecond
+	busyEvery  = 20 * time.Millisecond
+	// tellEvery is the longest time between two messages to the entries, and tellLeast the shortest for a change of
+	// the load alone; a change of the adapters is told at once.
+	tellEvery = 800 * time.Millisecond
+	tellLeast = 150 * time.Millisecond
+	// demandLife is how long an entry's demand counts without being told again.
+	demandLife = 3 * time.Second
+	// weightHalfLife halves the weight of past requests when an adapter to unload is chosen.
+	weightHalfLife = 20 * time.Second
+	// maxLoading is the number of adapters that may be on their way to one engine.
+	maxLoading = 4
+	// callTimeout bounds a call to the engine on the same VM.
+	callTimeout = 400 * time.Millisecond
+	// downAfter is the number of reports in a row without an answer after which the engine counts as down.
+	downAfter = 2
+	// fencePause is the time between two attempts to get a fencing number.
+	fencePause = 300 * time.Millisecond
+)
+
+// Report is the engine's word on itself.
+type Report struct {
+	Born     int64
+	Sequence int64
+	// IsBusy engines carry out an order that excludes others.
+	IsBusy           bool
+	Running, Waiting int
+	Used, Total      int64
+	Resident         map[Adapter]int64
+	Loading          map[Adapter]int64
+}
+
+// Order is one order.
+type Order struct {
+	Step
+	// EndpointID names the engine's run; empty when unknown.
+	EndpointID string
+	// Expected is the number of orders that the engine has accepted before this one. An order that arrives late, after
+	// others, does nothing.
+	Expected int64
+	Fence    int64
+}
+
+// Result is the engine's answer to an order.
+type Result int
+
+// The results.
+const (
+	// Accepted orders are being carried out or already hold.
+	Accepted Result = iota + 1
+	// Conflict means that the engine has moved on since the report; read it again.
+	Conflict
+	// Fenced means that another holder has used a higher fencing number.
+	Fenced
+	// Rejected means that the engine will not carry the order out.
+	Rejected
+)
+
+// Engine is the model engine on this VM.
+type Engine interface {
+	Report(ctx context.Context) (Report, error)
+	Order(ctx context.Context, o Order) (Result, error)
+}
+
+// Config configures an Orderer.
+type Config struct {
+	VM      string
+	Address string
+	Engine  Engine
+	// Slots returns the number of adapters that the engine may hold; 0 while it isn't known.
+	Slots func() int
+	// Fence returns a fencing number that is higher than all before.
+	Fence func(ctx context.Context) (int64, error)
+	// Tell sends the engine's state to entries.
+	Tell func(s wire.EngineState, to []string)
+	Now  func() time.Time
+	Log  zerolog.Logger
+}
+
+// entryDemand is what one entry last asked for.
+type entryDemand struct {
+	at      time.Time
+	address string
+	used    map[Adapter]Demand
+}
+
+// Orderer runs beside one engine. It is safe for use by several goroutines.
+type Orderer struct {
+	config Config
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	entries map[string]entryDemand
+	// recent holds each entry's count of requests by adapter, from which weights are derived.
+	recent     map[string]map[Adapter]int
+	weights    map[Adapter]weight
+	waiting    map[Adapter]time.Time
+	endpointID string
+
+	// The fields below are used by Run alone.
+	fence    int64
+	failures int
+	told     wire.EngineState
+	toldAt   time.Time
+	restless bool
+}
+
+type weight struct {
+	value float64
+	at    time.Time
+}
+
+func (w weight) now(now time.Time) float64 {
+	return w.value * math.Exp2(-now.Sub(w.at).Seconds()/weightHalfLife.Seconds())
+}
+
+// New returns an Orderer.
+func New(c Config) *Orderer {
+	return &Orderer{
+		config: c, wake: make(chan struct{}, 1), entries: map[string]entryDemand{},
+		recent: map[string]map[Adapter]int{}, weights: map[Adapter]weight{}, waiting: map[Adapter]time.Time{},
+	}
+}
+
+// SetDemand takes an entry's demand. Its datagrams come from the address to which the state is told.
+func (o *Orderer) SetDemand(d wire.EntryDemand, from string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.config.Now()
+	demand := entryDemand{at: now, address: from, used: map[Adapter]Demand{}}
+	counts := o.recent[d.VM]
+	if counts == nil {
+		counts = map[Adapter]int{}
+		o.recent[d.VM] = counts
+	}
+	isNew := o.entries[d.VM].address != from
+	for _, u := range d.Used {
+		a := Adapter{Model: u.Model, Name: u.Adapter}
+		demand.used[a] = Demand{Version: u.Version, Open: u.Open}
+		if more := u.Recent - counts[a]; more > 0 {
+			o.weights[a] = weight{value: o.weights[a].now(now) + float64(more), at: now}
+		}
+		counts[a] = u.Recent
+	}
+	for _, w := range d.Wanted {
+		a := Adapter{Model: w.Model, Name: w.Adapter}
+		used := demand.used[a]
+		used.Version, used.Waiting = max(used.Version, w.Version), w.Open
+		demand.used[a] = used
+		if _, ok := o.waiting[a]; !ok {
+			o.waiting[a] = now
+		}
+	}
+	o.entries[d.VM] = demand
+	if d.EndpointID != "" {
+		o.endpointID = d.EndpointID
+	}
+	if isNew || len(d.Wanted) > 0 {
+		o.awaken()
+	}
+}
+
+func (o *Orderer) awaken() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// demands sums what the entries ask for, and returns the entries to tell.
+func (o *Orderer) demands() (map[Adapter]Demand, []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.config.Now()
+	sum := map[Adapter]Demand{}
+	var to []string
+	for vm, e := range o.entries {
+		if now.Sub(e.at) > demandLife {
+			delete(o.entries, vm)
+			delete(o.recent, vm)
+			continue
+		}
+		to = append(to, e.address)
+		for a, d := range e.used {
+			s := sum[a]
+			s.Version = max(s.Version, d.Version)
+			s.Waiting += d.Waiting
+			s.Open += d.Open
+			sum[a] = s
+		}
+	}
+	for a := range o.waiting {
+		if sum[a].Waiting == 0 {
+			delete(o.waiting, a)
+		}
+	}
+	for a, w := range o.weights {
+		s := sum[a]
+		s.Weight, s.Since = w.now(now), o.waiting[a]
+		sum[a] = s
+	}
+	for a, s := range sum {
+		if s.Waiting > 0 && s.Since.IsZero() {
+			s.Since = o.waiting[a]
+			sum[a] = s
+		}
+	}
+	slices.Sort(to)
+	return sum, to
+}
+
+// Run reads the engine's report, orders and tells the entries, until ctx ends.
+func (o *Orderer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		o.step(ctx)
+		every := quietEvery
+		if o.restless {
+			every = busyEvery
+		}
+		timer := time.NewTimer(every)
+		select {
+		case <-timer.C:
+		case <-o.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
+
+func (o *Orderer) step(ctx context.Context) {
+	report, err := o.report(ctx)
+	demands, to := o.demands()
+	if err != nil {
+		o.restless = false
+		if ctx.Err() == nil {
+			o.noAnswer(err, to)
+		}
+		return
+	}
+	if o.failures >= downAfter {
+		o.config.Log.Info().Int64("Born", report.Born).Msg("orderer: engine regained")
+	}
+	o.failures = 0
+	ordered := o.order(ctx, report, demands)
+	if ordered {
+		if after, err := o.report(ctx); err == nil {
+			report = after
+		}
+	}
+	o.restless = len(report.Loading) > 0 || ordered
+	o.tell(report, to)
+}
+
+func (o *Orderer) report(ctx context.Context) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return o.config.Engine.Report(ctx)
+}
+
+func (o *Orderer) noAnswer(err error, to []string) {
+	o.failures++
+	if o.failures == downAfter {
+		o.config.Log.Warn().Err(err).Msg("orderer: engine lost")
+	}
+	if o.failures >= downAfter {
+		down := o.told
+		down.Address, down.IsDown = o.config.Address, true
+		o.send(down, to, o.failures == downAfter)
+	}
+}
+
+// order gives the orders that the demand calls for, one after the other, and says whether it gave any.
+func (o *Orderer) order(ctx context.Context, report Report, demands map[Adapter]Demand) bool {
+	ordered := false
+	for range maxLoading {
+		slots := o.config.Slots()
+		if slots == 0 || report.IsBusy {
+			return ordered
+		}
+		step, ok := Plan(Holding{Resident: report.Resident, Loading: report.Loading, Slots: slots, MaxLoading: maxLoading}, demands)
+		if !ok || !o.hasFence(ctx) {
+			return ordered
+		}
+		ordered = true
+		if !o.give(ctx, step, report, demands) {
+			return ordered
+		}
+		var err error
+		if report, err = o.report(ctx); err != nil {
+			return ordered
+		}
+	}
+	return ordered
+}
+
+// give gives one order and says whether to go on.
+func (o *Orderer) give(ctx context.Context, step Step, report Report, demands map[Adapter]Demand) bool {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o.mu.Lock()
+	id := o.endpointID
+	o.mu.Unlock()
+	order := Order{Step: step, EndpointID: id, Expected: report.Sequence, Fence: o.fence}
+	result, err := o.config.Engine.Order(callCtx, order)
+	d := demands[step.Adapter]
+	o.config.Log.Info().Str("Adapter", step.Adapter.Model+"/"+step.Adapter.Name).Int64("Version", step.Version).
+		Bool("Load", step.IsLoad).Int64("Expected", report.Sequence).Int64("Fence", o.fence).Int("Result", int(result)).
+		Int("Waiting", d.Waiting).Float64("Weight", d.Weight).AnErr("Error", err).Msg("orderer: order given")
+	if err != nil {
+		return false
+	}
+	switch result {
+	case Fenced:
+		o.fence = 0
+		return false
+	case Rejected:
+		o.mu.Lock()
+		o.endpointID = ""
+		o.mu.Unlock()
+		return false
+	case Accepted, Conflict:
+	}
+	return result == Accepted
+}
+
+// hasFence gets a fencing number if there is none.
+func (o *Orderer) hasFence(ctx context.Context) bool {
+	if o.fence > 0 {
+		return true
+	}
+	fence, err := o.config.Fence(ctx)
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			o.config.Log.Warn().Err(err).Msg("orderer: no fencing number, no orders until the store answers")
+		}
+		return false
+	}
+	o.fence = fence
+	o.config.Log.Info().Int64("Fence", fence).Msg("orderer: fencing number taken")
+	return true
+}
+
+// tell tells the entries the engine's state: a change of its adapters at once, of its load soon, else now and then.
+func (o *Orderer) tell(r Report, to []string) {
+	s := wire.EngineState{
+		Address: o.config.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, UsedTokens: r.Used, TotalTokens: r.Total,
+		Resident: names(r.Resident), Loading: names(r.Loading),
+	}
+	adaptersChanged := s.Born != o.told.Born || o.told.IsDown ||
+		!slices.Equal(s.Resident, o.told.Resident) || !slices.Equal(s.Loading, o.told.Loading)
+	loadChanged := s.Running != o.told.Running || s.Waiting != o.told.Waiting
+	o.send(s, to, adaptersChanged || loadChanged && o.config.Now().Sub(o.toldAt) >= tellLeast)
+}
+
+func (o *Orderer) send(s wire.EngineState, to []string, isDue bool) {
+	now := o.config.Now()
+	if !isDue && now.Sub(o.toldAt) < tellEvery {
+		return
+	}
+	o.told, o.toldAt = s, now
+	if len(to) > 0 {
+		o.config.Tell(s, to)
+	}
+}
+
+func names(held map[Adapter]int64) []wire.AdapterName {
+	list := make([]wire.AdapterName, 0, len(held))
+	for a, version := range held {
+		list = append(list, wire.AdapterName{Model: a.Model, Adapter: a.Name, Version: version})
+	}
+	slices.SortFunc(list, func(a, b wire.AdapterName) int {
+		return compareAdapters(Adapter{Model: a.Model, Name: a.Adapter}, Adapter{Model: b.Model, Name: b.Adapter})
+	})
+	return list
+}
--- /dev/null
+++ b/internal/sharer/sharer.go
@@ -0,0 +1,296 @@
+// Package sharer is what the entries know of one another: which are there, which hear of one another, what each has
+// admitted for each organisation, and who has newer copies of the platform's tables. It owns this entry's tallies of
+// the organisations' limits. It uses no store: while that is away, entries go on hearing of one another.
+package sharer
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"geraniumladder/internal/registrar"
+	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/limiter"
+)
+
+const (
+	// TellEvery is the time between two messages to the other entries, and TellSoonest that after an admission from a
+	// scarce limit.
+	TellEvery   = 200 * time.Millisecond
+	TellSoonest = 25 * time.Millisecond
+	// heardLife is how long a message proves that its sender hears and is heard: several messages in a row would have
+	// to be lost.
+	heardLife = 1200 * time.Millisecond
+	// memberLife is how long an entry that is not heard of keeps its part of the limits. It may be alive behind a cut.
+	memberLife = 20 * time.Second
+	// seedLife is how long seeds are told of this entry without an answer: an entry may be replaced by then.
+	seedEvery = time.Second
+)
+
+// Config configures a Sharer.
+type Config struct {
+	VM      string
+	Address string
+	Seeds   []string
+	// Allowance is the number of tokens by which the entries may exceed a limit together.
+	Allowance float64
+	Now       func() time.Time
+	Log       zerolog.Logger
+}
+
+// peer is another entry.
+type peer struct {
+	address string
+	boot    string
+	// heardAt is when its last message arrived, hearsAt when a message last said that it hears this entry.
+	heardAt, hearsAt time.Time
+	isLeaving        bool
+	spent            map[string]int64
+	tables           map[string]int64
+	wasMutual        bool
+}
+
+// Sharer is safe for use by several goroutines.
+type Sharer struct {
+	config Config
+	start  time.Time
+	wake   chan struct{}
+
+	mu            sync.Mutex
+	peers         map[string]*peer
+	tallies       map[string]limiter.Tally
+	group         int
+	members       int
+	isLeaving     bool
+	seededAt      time.Time
+	organisations map[string]*registrar.Organisation
+}
+
+// New returns a Sharer that knows no other entry.
+func New(c Config) *Sharer {
+	return &Sharer{
+		config: c, start: c.Now(), wake: make(chan struct{}, 1), peers: map[string]*peer{},
+		tallies: map[string]limiter.Tally{}, group: 1, members: 1,
+	}
+}
+
+func (s *Sharer) elapsed() time.Duration { return s.config.Now().Sub(s.start) }
+
+// Wake receives when the others should be told at once.
+func (s *Sharer) Wake() <-chan struct{} { return s.wake }
+
+// Leave tells the others from now on that this entry leaves.
+func (s *Sharer) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isLeaving = true
+}
+
+// SetOrganisations takes the limits of a configuration.
+func (s *Sharer) SetOrganisations(organisations map[string]*registrar.Organisation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.organisations = organisations
+	now := s.elapsed()
+	for name := range s.tallies {
+		if organisations[name] == nil {
+			delete(s.tallies, name)
+		}
+	}
+	for name, o := range organisations {
+		c := s.limit(o)
+		if t, ok := s.tallies[name]; ok {
+			s.tallies[name] = t.WithConfig(c, now)
+		} else {
+			s.tallies[name] = limiter.NewTally(c, now).WithGroup(s.group, s.members, now)
+		}
+	}
+}
+
+func (s *Sharer) limit(o *registrar.Organisation) limiter.TallyConfig {
+	return limiter.TallyConfig{Rate: o.Rate, Burst: o.Burst, Allowance: s.config.Allowance}
+}
+
+// Admit takes tokens of the organisation's limit.
+func (s *Sharer) Admit(o *registrar.Organisation, tokens float64) (bool, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.elapsed()
+	t, ok := s.tallies[o.Name]
+	if !ok {
+		t = limiter.NewTally(s.limit(o), now).WithGroup(s.group, s.members, now)
+	}
+	t, admitted, after := t.Admit(tokens, now)
+	s.tallies[o.Name] = t
+	if t.IsScarce() {
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
+	return admitted, after
+}
+
+// Refund gives tokens back of a request that has not run.
+func (s *Sharer) Refund(o *registrar.Organisation, tokens float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t, ok := s.tallies[o.Name]; ok {
+		s.tallies[o.Name] = t.Refund(tokens, s.elapsed())
+	}
+}
+
+// Hear takes another entry's message.
+func (s *Sharer) Hear(m wire.EntryState) {
+	if m.VM == s.config.VM {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Now()
+	p := s.peers[m.VM]
+	if p == nil || p.boot != m.Boot {
+		if p == nil {
+			s.config.Log.Info().Str("Peer", m.VM).Str("Address", m.Address).Msg("sharer: entry found")
+		} else {
+			s.config.Log.Info().Str("Peer", m.VM).Str("Address", m.Address).Msg("sharer: entry restarted")
+		}
+		p = &peer{boot: m.Boot}
+		s.peers[m.VM] = p
+	}
+	p.address, p.heardAt, p.isLeaving = m.Address, now, m.IsLeaving
+	p.tables = make(map[string]int64, len(m.Tables))
+	for _, t := range m.Tables {
+		p.tables[t.Table] = t.Version
+	}
+	for _, h := range m.Heard {
+		switch {
+		case h.VM == s.config.VM:
+			p.hearsAt = now.Add(-time.Duration(h.AgeMs) * time.Millisecond)
+		case s.peers[h.VM] == nil:
+			// Told of at second hand: this entry tells it of itself, and counts it once it answers.
+			s.peers[h.VM] = &peer{address: h.Address}
+		}
+	}
+	s.takeSpent(p, m.Spent)
+	s.regroup()
+}
+
+// takeSpent takes off what the peer has admitted since its last message. The first message of a run sets the start.
+func (s *Sharer) takeSpent(p *peer, spent []wire.OrganisationSpent) {
+	now := s.elapsed()
+	isFirst := p.spent == nil
+	next := make(map[string]int64, len(spent))
+	for _, o := range spent {
+		next[o.Organisation] = o.Tokens
+		if t, ok := s.tallies[o.Organisation]; ok && !isFirst {
+			s.tallies[o.Organisation] = t.WithPeerSpent(float64(o.Tokens-p.spent[o.Organisation]), now)
+		}
+	}
+	p.spent = next
+}
+
+// regroup counts the entries, and those that hear of one another.
+func (s *Sharer) regroup() {
+	now := s.config.Now()
+	group, members := 1, 1
+	for name, p := range s.peers {
+		if p.isLeaving && now.Sub(p.heardAt) > heardLife || !p.heardAt.IsZero() && now.Sub(p.heardAt) > memberLife {
+			delete(s.peers, name)
+			s.config.Log.Info().Str("Peer", name).Bool("IsLeaving", p.isLeaving).Msg("sharer: entry forgotten")
+			continue
+		}
+		if p.heardAt.IsZero() {
+			continue
+		}
+		members++
+		isMutual := now.Sub(p.heardAt) < heardLife && now.Sub(p.hearsAt) < heardLife
+		if isMutual {
+			group++
+		}
+		if isMutual != p.wasMutual {
+			s.config.Log.Info().Str("Peer", name).Bool("IsMutual", isMutual).Dur("Heard", now.Sub(p.heardAt)).
+				Dur("Hears", now.Sub(p.hearsAt)).Msg("sharer: contact changed")
+			p.wasMutual = isMutual
+		}
+	}
+	if group == s.group && members == s.members {
+		return
+	}
+	s.group, s.members = group, members
+	elapsed := s.elapsed()
+	for name, t := range s.tallies {
+		s.tallies[name] = t.WithGroup(group, members, elapsed)
+	}
+}
+
+// Message returns the message to the other entries and their addresses.
+func (s *Sharer) Message(boot string, sequence int64, tables map[string]int64) (wire.EntryState, []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.regroup()
+	now := s.config.Now()
+	m := wire.EntryState{
+		Boot: boot, Sequence: sequence, VM: s.config.VM, Address: s.config.Address, IsLeaving: s.isLeaving,
+		Tables: []wire.TableVersion{}, Heard: []wire.PeerHeard{}, Spent: []wire.OrganisationSpent{},
+	}
+	for table, version := range tables {
+		m.Tables = append(m.Tables, wire.TableVersion{Table: table, Version: version})
+	}
+	var to []string
+	for name, p := range s.peers {
+		to = append(to, p.address)
+		if age := now.Sub(p.heardAt); age < heardLife {
+			m.Heard = append(m.Heard, wire.PeerHeard{VM: name, Address: p.address, AgeMs: age.Milliseconds()})
+		}
+	}
+	for name, t := range s.tallies {
+		told, spent := t.Told()
+		s.tallies[name] = told
+		if spent != 0 {
+			m.Spent = append(m.Spent, wire.OrganisationSpent{Organisation: name, Tokens: int64(spent)})
+		}
+	}
+	if now.Sub(s.seededAt) >= seedEvery {
+		s.seededAt = now
+		for _, seed := range s.config.Seeds {
+			if !slices.Contains(to, seed) {
+				to = append(to, seed)
+			}
+		}
+	}
+	return m, to
+}
+
+// Entries is the number of entries that may be serving, this one included.
+func (s *Sharer) Entries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members
+}
+
+// Newer returns addresses of entries with a newer copy of the table, newest first.
+func (s *Sharer) Newer(table string, version int64) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Now()
+	type copyOf struct {
+		address string
+		version int64
+	}
+	var found []copyOf
+	for _, p := range s.peers {
+		if v := p.tables[table]; v > version && now.Sub(p.heardAt) < heardLife {
+			found = append(found, copyOf{address: p.address, version: v})
+		}
+	}
+	slices.SortFunc(found, func(a, b copyOf) int { return cmp.Or(cmp.Compare(b.version, a.version), cmp.Compare(a.address, b.address)) })
+	addresses := make([]string, len(found))
+	for i, f := range found {
+		addresses[i] = f.address
+	}
+	return addresses
+}
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -213,6 +213,28 @@
 	}
 }
 
+// AdapterDemand defines model for AdapterDemand.
+type AdapterDemand struct {
+	Adapter string `json:"Adapter"`
+	Model   string `json:"Model"`
+
+	// Open Requests that wait or run now.
+	Open int `json:"Open"`
+
+	// Recent Requests since the process started; never falls within one process.
+	Recent int `json:"Recent"`
+
+	// Version Least version that serves; 0 for any.
+	Version int64 `json:"Version"`
+}
+
+// AdapterName An adapter version.
+type AdapterName struct {
+	Adapter string `json:"Adapter"`
+	Model   string `json:"Model"`
+	Version int64  `json:"Version"`
+}
+
 // ClaimRow Claim of a call with an idempotency key; row claim, ORGANISATION/KEY of the table.
 type ClaimRow struct {
 	// Address Address of the sidecar.
@@ -292,6 +314,51 @@
 	VM       string   `json:"Vm"`
 }
 
+// EngineState Sent by a sidecar to the entries, as one datagram, when the state of its engine changes and at a steady interval.
+type EngineState struct {
+	// Address HOST:PORT of the engine.
+	Address string `json:"Address"`
+
+	// Boot Names one run of the sender's process.
+	Boot string `json:"Boot"`
+
+	// Born Start of the engine's run, in Unix milliseconds.
+	Born int64 `json:"Born"`
+
+	// IsDown The engine didn't answer its sidecar.
+	IsDown   bool          `json:"IsDown"`
+	Loading  []AdapterName `json:"Loading"`
+	Resident []AdapterName `json:"Resident"`
+	Running  int           `json:"Running"`
+
+	// Sequence Rises with each message of one run.
+	Sequence    int64 `json:"Sequence"`
+	TotalTokens int64 `json:"TotalTokens"`
+
+	// UsedTokens KV cache memory that running requests hold, in tokens.
+	UsedTokens int64 `json:"UsedTokens"`
+	Waiting    int   `json:"Waiting"`
+}
+
+// EntryDemand Sent by an entry to a sidecar, as one datagram, when it needs an adapter and at a steady interval.
+type EntryDemand struct {
+	// Boot Names one run of the sender's process.
+	Boot string `json:"Boot"`
+
+	// EndpointID ID under which the engine is registered; empty when the entry doesn't know it.
+	EndpointID string `json:"EndpointId"`
+
+	// Sequence Rises with each message of one run.
+	Sequence int64 `json:"Sequence"`
+
+	// Used Adapters that open requests use.
+	Used []AdapterDemand `json:"Used"`
+	VM   string          `json:"Vm"`
+
+	// Wanted Adapters that requests wait for.
+	Wanted []AdapterDemand `json:"Wanted"`
+}
+
 // EntryExchange What entries tell each other, in request and reply alike.
 type EntryExchange struct {
 	// Epoch Highest epoch in which the sender has taken its smaller share.
@@ -319,6 +386,23 @@
 	VM          string `json:"Vm"`
 }
 
+// EntryState Sent by each entry to each other one, as one datagram, at a steady interval.
+type EntryState struct {
+	// Address HOST:PORT for datagrams and pages of other processes.
+	Address string `json:"Address"`
+
+	// Boot Names one run of the sender's process.
+	Boot      string      `json:"Boot"`
+	Heard     []PeerHeard `json:"Heard"`
+	IsLeaving bool        `json:"IsLeaving"`
+
+	// Sequence Rises with each message of one run.
+	Sequence int64               `json:"Sequence"`
+	Spent    []OrganisationSpent `json:"Spent"`
+	Tables   []TableVersion      `json:"Tables"`
+	VM       string              `json:"Vm"`
+}
+
 // EntryStatus defines model for EntryStatus.
 type EntryStatus struct {
 	Endpoints     []EndpointView `json:"Endpoints"`
@@ -453,6 +537,21 @@
 	Sequence int64 `json:"Sequence"`
 }
 
+// OrganisationSpent defines model for OrganisationSpent.
+type OrganisationSpent struct {
+	Organisation string `json:"Organisation"`
+
+	// Tokens Tokens admitted since the process started.
+	Tokens int64 `json:"Tokens"`
+}
+
+// PeerHeard A peer that the sender has heard from lately.
+type PeerHeard struct {
+	Address string `json:"Address"`
+	AgeMs   int64  `json:"AgeMs"`
+	VM      string `json:"Vm"`
+}
+
 // RepayRequest Reports how much of a grant was spent; the rest returns to the lender.
 type RepayRequest struct {
 	Borrower     string  `json:"Borrower"`
@@ -553,6 +652,26 @@
 	VM       string   `json:"Vm"`
 }
 
+// TableCopy One process's copy of a table of the platform's store.
+type TableCopy struct {
+	Rows    []TableRow `json:"Rows"`
+	Table   string     `json:"Table"`
+	Version int64      `json:"Version"`
+}
+
+// TableRow defines model for TableRow.
+type TableRow struct {
+	Key     string `json:"Key"`
+	Value   []byte `json:"Value"`
+	Version int64  `json:"Version"`
+}
+
+// TableVersion defines model for TableVersion.
+type TableVersion struct {
+	Table   string `json:"Table"`
+	Version int64  `json:"Version"`
+}
+
 // VoidReply defines model for VoidReply.
 type VoidReply struct {
 	Incarnation string         `json:"Incarnation"`
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -113,3 +113,10 @@
 	}
 	return r
 }
+
+// WithConfig changes the budget and keeps the counts. The window must stay the same.
+func (r Retrier) WithConfig(c Config) Retrier {
+	next := New(c)
+	r.config = next.config
+	return r
+}
