--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -117,7 +117,9 @@
 }
 
 // SetVersions replaces the declared adapter versions.
-func (f *Forwarder) SetVersions(versions map[registrar.AdapterKey]int64) { f.fleet.withVersions(versions) }
+func (f *Forwarder) SetVersions(versions map[registrar.AdapterKey]int64) {
+	f.fleet.withVersions(versions)
+}
 
 // SetState takes a sidecar's report.
 func (f *Forwarder) SetState(s wire.EngineState) { f.fleet.withState(s) }
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -287,7 +287,9 @@
 			found = append(found, copyOf{address: p.address, version: v})
 		}
 	}
-	slices.SortFunc(found, func(a, b copyOf) int { return cmp.Or(cmp.Compare(b.version, a.version), cmp.Compare(a.address, b.address)) })
+	slices.SortFunc(found, func(a, b copyOf) int {
+		return cmp.Or(cmp.Compare(b.version, a.version), cmp.Compare(a.address, b.address))
+	})
 	addresses := make([]string, len(found))
 	for i, f := range found {
 		addresses[i] = f.address
