Load the base model into an engine that restarted empty

Cause: after a loss of power of the side VMs their engines hold nothing, and orders for adapters were refused because their model was absent; requests waited for adapters to the end of their time.

--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -215,6 +215,9 @@
 		c.FreeTokens = float64(e.state.TotalTokens - e.state.UsedTokens)
 		c.IsSuspect = c.IsSuspect || e.state.IsDown
 	}
+	if _, held := e.resident[registrar.AdapterKey{Model: w.call.Model.Model}]; !held && w.call.Model.Model != "" {
+		c.LacksModel, c.Residency = true, selector.Absent
+	}
 	if w.call.Model.Adapter != "" {
 		c.Residency = e.residency(w.call.Model, w.version)
 		c.HasRoom, c.LoadsAhead = e.room()
@@ -407,7 +410,7 @@
 		EndpointID: e.ID, Wanted: []wire.AdapterDemand{}, Used: []wire.AdapterDemand{},
 	}}
 	for key, u := range e.uses {
-		if key.Adapter == "" {
+		if key.Model == "" {
 			continue
 		}
 		a := wire.AdapterDemand{Model: key.Model, Adapter: key.Adapter, Version: u.version, Open: u.waiting, Recent: u.recent}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -48,8 +48,12 @@
 	IsBusy           bool
 	Running, Waiting int
 	Used, Total      int64
-	Resident         map[Adapter]int64
-	Loading          map[Adapter]int64
+	// Models are the models held, by name, with their versions.
+	Models   map[string]int64
+	Resident map[Adapter]int64
+	Loading  map[Adapter]int64
+	// AtHand holds the models that the engine can load without the weight store.
+	AtHand map[string]bool
 }
 
 // Order is one order.
@@ -89,8 +93,10 @@
 	VM      string
 	Address string
 	Engine  Engine
-	// Slots returns the number of adapters that the engine may hold; 0 while it isn't known.
-	Slots func() int
+	// Capacity returns what the engine may hold, or nil while it isn't known.
+	Capacity func() *Capacity
+	// MayLoad asks for one load of a model from the weight store, which allows the whole fleet only so many a second.
+	MayLoad func(ctx context.Context) (bool, error)
 	// Fence returns a fencing number that is higher than all before.
 	Fence func(ctx context.Context) (int64, error)
 	// Tell sends the engine's state to entries.
@@ -99,6 +105,20 @@
 	Log  zerolog.Logger
 }
 
+// Capacity is what an engine may hold.
+type Capacity struct {
+	AdapterSlots int
+	// MemoryMB is for weights and adapters.
+	MemoryMB float64
+	Models   []Model
+}
+
+// Model is a model that the engine may load.
+type Model struct {
+	Name                 string
+	WeightsMB, AdapterMB float64
+}
+
 // entryDemand is what one entry last asked for.
 type entryDemand struct {
 	at      time.Time
@@ -296,12 +316,14 @@
 func (o *Orderer) order(ctx context.Context, report Report, demands map[Adapter]Demand) bool {
 	ordered := false
 	for range maxLoading {
-		slots := o.config.Slots()
-		if slots == 0 || report.IsBusy {
+		capacity := o.config.Capacity()
+		if capacity == nil || report.IsBusy {
 			return ordered
 		}
-		step, ok := Plan(Holding{Resident: report.Resident, Loading: report.Loading, Slots: slots, MaxLoading: maxLoading}, demands)
-		if !ok || !o.hasFence(ctx) {
+		step, ok := Plan(Holding{
+			Models: report.Models, Resident: report.Resident, Loading: report.Loading, Capacity: *capacity, MaxLoading: maxLoading,
+		}, demands)
+		if !ok || !o.hasFence(ctx) || !o.mayLoad(ctx, step, report) {
 			return ordered
 		}
 		ordered = true
@@ -327,7 +349,7 @@
 	result, err := o.config.Engine.Order(callCtx, order)
 	d := demands[step.Adapter]
 	o.config.Log.Info().Str("Adapter", step.Adapter.Model+"/"+step.Adapter.Name).Int64("Version", step.Version).
-		Bool("Load", step.IsLoad).Int64("Expected", report.Sequence).Int64("Fence", o.fence).Int("Result", int(result)).
+		Bool("Load", step.IsLoad).Int("Models", len(report.Models)).Int("Held", len(report.Resident)).Int("Coming", len(report.Loading)).Int64("Expected", report.Sequence).Int64("Fence", o.fence).Int("Result", int(result)).
 		Int("Waiting", d.Waiting).Float64("Weight", d.Weight).AnErr("Error", err).Msg("orderer: order given")
 	if err != nil {
 		return false
@@ -346,6 +368,23 @@
 	return result == Accepted
 }
 
+// mayLoad says whether the step may begin now. Only loads of models from the weight store are bounded.
+func (o *Orderer) mayLoad(ctx context.Context, step Step, report Report) bool {
+	if !step.IsLoad || step.Adapter.Name != "" || report.AtHand[step.Adapter.Model] {
+		return true
+	}
+	ok, err := o.config.MayLoad(ctx)
+	if err != nil {
+		// Without the store nothing can be agreed on; an engine that stays empty serves nobody.
+		o.config.Log.Warn().Err(err).Str("Model", step.Adapter.Model).Msg("orderer: model loaded without the fleet's leave")
+		return true
+	}
+	if !ok {
+		o.config.Log.Info().Str("Model", step.Adapter.Model).Msg("orderer: load put off, the fleet loads enough")
+	}
+	return ok
+}
+
 // hasFence gets a fencing number if there is none.
 func (o *Orderer) hasFence(ctx context.Context) bool {
 	if o.fence > 0 {
@@ -369,6 +408,12 @@
 		Address: o.config.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, UsedTokens: r.Used, TotalTokens: r.Total,
 		Resident: names(r.Resident), Loading: names(r.Loading),
 	}
+	for model, version := range r.Models {
+		s.Resident = append(s.Resident, wire.AdapterName{Model: model, Version: version})
+	}
+	slices.SortFunc(s.Resident, func(a, b wire.AdapterName) int {
+		return compareAdapters(Adapter{Model: a.Model, Name: a.Adapter}, Adapter{Model: b.Model, Name: b.Adapter})
+	})
 	adaptersChanged := s.Born != o.told.Born || o.told.IsDown ||
 		!slices.Equal(s.Resident, o.told.Resident) || !slices.Equal(s.Loading, o.told.Loading)
 	loadChanged := s.Running != o.told.Running || s.Waiting != o.told.Waiting
--- a/internal/orderer/plan.go
+++ b/internal/orderer/plan.go
@@ -25,9 +25,12 @@
 
 // Holding is what the engine holds, as it reported.
 type Holding struct {
+	Models            map[string]int64
 	Resident, Loading map[Adapter]int64
-	// Slots bounds the adapters that are resident or loading, MaxLoading those that are loading.
-	Slots, MaxLoading int
+	// Capacity bounds the adapters that are resident or loading, and the memory of all.
+	Capacity Capacity
+	// MaxLoading bounds the adapters that are loading.
+	MaxLoading int
 }
 
 // Step is the next order for the engine.
@@ -41,22 +44,82 @@
 // Plan returns the next order, or false when there is nothing to do now. Resident and loading adapters never exceed the
 // slots, and an adapter that a request uses or waits for is not unloaded.
 func Plan(h Holding, demands map[Adapter]Demand) (Step, bool) {
+	if step, ok := planModel(h, demands); ok {
+		return step, true
+	}
 	wanted, ok := mostWanted(h, demands)
 	if !ok || len(h.Loading) >= h.MaxLoading {
 		return Step{}, false
 	}
-	if len(h.Resident)+len(h.Loading) < h.Slots {
+	if len(h.Resident)+len(h.Loading) < h.Capacity.AdapterSlots && h.fits(h.model(wanted.Model).AdapterMB) {
 		return Step{IsLoad: true, Adapter: wanted, Version: demands[wanted].Version}, true
 	}
 	victim, ok := leastUseful(h, demands, wanted)
 	return Step{Adapter: victim}, ok
 }
 
+// planModel loads a model that fits: one that requests wait for, or any into an engine that holds none.
+func planModel(h Holding, demands map[Adapter]Demand) (Step, bool) {
+	var best *Model
+	for i := range h.Capacity.Models {
+		m := &h.Capacity.Models[i]
+		if _, held := h.Models[m.Name]; held || !h.fits(m.WeightsMB) {
+			continue
+		}
+		waiting := modelDemand(demands, m.Name)
+		if waiting == 0 && len(h.Models) > 0 {
+			continue
+		}
+		if best == nil || waiting > modelDemand(demands, best.Name) {
+			best = m
+		}
+	}
+	if best == nil {
+		return Step{}, false
+	}
+	return Step{IsLoad: true, Adapter: Adapter{Model: best.Name}}, true
+}
+
+func modelDemand(demands map[Adapter]Demand, model string) int {
+	n := 0
+	for a, d := range demands {
+		if a.Model == model {
+			n += d.Waiting
+		}
+	}
+	return n
+}
+
+func (h Holding) model(name string) Model {
+	for _, m := range h.Capacity.Models {
+		if m.Name == name {
+			return m
+		}
+	}
+	return Model{}
+}
+
+// fits says whether the engine's memory has room for so much more.
+func (h Holding) fits(mb float64) bool {
+	for name := range h.Models {
+		mb += h.model(name).WeightsMB
+	}
+	for _, held := range []map[Adapter]int64{h.Resident, h.Loading} {
+		for a := range held {
+			mb += h.model(a.Model).AdapterMB
+		}
+	}
+	return mb <= h.Capacity.MemoryMB
+}
+
 // mostWanted is the adapter whose requests have waited longest in sum of those that must be loaded.
 func mostWanted(h Holding, demands map[Adapter]Demand) (Adapter, bool) {
 	var best Adapter
 	found := false
 	for adapter, d := range demands {
+		if _, held := h.Models[adapter.Model]; !held || adapter.Name == "" {
+			continue
+		}
 		if d.Waiting == 0 || isThere(h.Resident, adapter, d.Version) || isThere(h.Loading, adapter, d.Version) {
 			continue
 		}
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -123,7 +123,9 @@
 	AdapterSlots int
 	// MemoryMB is the memory of one engine for weights and adapters.
 	MemoryMB float64
-	Models   []Model
+	// LoadsPerSecond is the number of models that the weight store delivers to all engines together.
+	LoadsPerSecond float64
+	Models         []Model
 }
 
 // Model is a base model with its adapters.
--- a/internal/resident/sidecar.go
+++ b/internal/resident/sidecar.go
@@ -21,6 +21,17 @@
 // change, so it makes few calls.
 const sidecarWait = 20 * time.Second
 
+// loadsTable has a row for each service with the times of the latest loads of models from the weight store.
+const loadsTable = "loads"
+
+// SidecarPlatform is what a sidecar needs of the platform.
+type SidecarPlatform interface {
+	Platform
+	// Update replaces a row by what change makes of it, unless somebody else changes it meanwhile. now is the store's
+	// clock. It says whether it wrote.
+	Update(ctx context.Context, table, key string, change func(old []byte, now time.Duration) ([]byte, bool)) (bool, error)
+}
+
 // SidecarConfig configures a Sidecar. Addresses are HOST:PORT.
 type SidecarConfig struct {
 	VM            string
@@ -29,10 +40,12 @@
 	PeerAddress   string
 	// MetricsAddress and MetricsPath are where the metrics are served.
 	MetricsAddress, MetricsPath string
-	Platform                    Platform
+	Platform                    SidecarPlatform
 	Engine                      orderer.Engine
 	// Fence returns a fencing number above all that the VM has had.
-	Fence       func(ctx context.Context) (int64, error)
+	Fence func(ctx context.Context) (int64, error)
+	// LoadWindow is the time over which the fleet's loads of models from the weight store are counted.
+	LoadWindow time.Duration
 	MemoryBytes int64
 	Reload      func() error
 	Log         zerolog.Logger
@@ -45,8 +58,10 @@
 	orderer  *orderer.Orderer
 	gossiper *gossiper.Gossiper
 	meter    *meter.Meter
-	// slots is the number of adapters that the engine holds at once; 0 while it isn't known.
-	slots     atomic.Int64
+	// capacity is nil while it isn't known.
+	capacity  atomic.Pointer[orderer.Capacity]
+	// loads is the number of models that the fleet may load in a LoadWindow; at least 1.
+	loads     atomic.Int64
 	operators *registrar.Follower
 }
 
@@ -67,8 +82,8 @@
 		OnChange: s.setOperators, Now: time.Now, Log: c.Log,
 	})
 	s.orderer = orderer.New(orderer.Config{
-		VM: c.VM, Address: c.EngineAddress, Engine: c.Engine, Slots: func() int { return int(s.slots.Load()) },
-		Fence: c.Fence, Tell: s.tell, Now: time.Now, Log: c.Log,
+		VM: c.VM, Address: c.EngineAddress, Engine: c.Engine, Capacity: s.capacity.Load,
+		MayLoad: s.mayLoad, Fence: c.Fence, Tell: s.tell, Now: time.Now, Log: c.Log,
 	})
 	gossiper.Handle(g, kindEntryDemand, func(d wire.EntryDemand) (string, gossiper.Stamp) {
 		return d.VM, gossiper.Stamp{Boot: d.Boot, Sequence: d.Sequence}
@@ -85,11 +100,25 @@
 	if service == nil || service.Engine == nil {
 		return
 	}
-	if old := s.slots.Swap(int64(service.Engine.AdapterSlots)); old != int64(service.Engine.AdapterSlots) {
-		s.log.Info().Int64("Revision", configuration.Version()).Int("Slots", service.Engine.AdapterSlots).Msg("sidecar: slots set")
+	capacity := &orderer.Capacity{AdapterSlots: service.Engine.AdapterSlots, MemoryMB: service.Engine.MemoryMB}
+	for _, m := range service.Engine.Models {
+		capacity.Models = append(capacity.Models, orderer.Model{Name: m.Name, WeightsMB: m.WeightsMB, AdapterMB: m.AdapterMB})
+	}
+	s.loads.Store(max(1, int64(service.Engine.LoadsPerSecond*s.config.LoadWindow.Seconds())))
+	if old := s.capacity.Swap(capacity); old == nil {
+		s.log.Info().Int64("Revision", configuration.Version()).Int("Slots", capacity.AdapterSlots).
+			Float64("MemoryMB", capacity.MemoryMB).Msg("sidecar: capacity set")
 	}
 }
 
+// mayLoad takes one of the loads that the weight store allows the fleet in a window.
+func (s *Sidecar) mayLoad(ctx context.Context) (bool, error) {
+	most := s.loads.Load()
+	return s.config.Platform.Update(ctx, loadsTable, s.config.Service, func(old []byte, now time.Duration) ([]byte, bool) {
+		return orderer.TakeLoad(old, now, s.config.LoadWindow, int(most))
+	})
+}
+
 func (s *Sidecar) tell(state wire.EngineState, to []string) {
 	stamp := s.gossiper.Next()
 	state.Boot, state.Sequence = stamp.Boot, stamp.Sequence
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -46,6 +46,8 @@
 	// IsSuspect endpoints have just failed in a way that makes the next failure likely.
 	IsSuspect bool
 	IsCold    bool
+	// LacksModel engines don't hold the request's base model.
+	LacksModel bool
 }
 
 // Request is what the choice depends on.
@@ -67,6 +69,8 @@
 	LoadTime time.Duration
 	// LoadPrice is added to a load, because a second copy of an adapter takes the place of another one.
 	LoadPrice time.Duration
+	// ModelLoadTime is added at an engine that lacks the base model.
+	ModelLoadTime time.Duration
 	// FullWait is added at an engine whose adapters are all in use.
 	FullWait time.Duration
 	// QueueTime is the time for one place in a full endpoint's queue.
@@ -90,6 +94,7 @@
 	DefaultStepTime        = 2 * time.Millisecond
 	DefaultLoadTime        = 260 * time.Millisecond
 	DefaultLoadPrice       = 250 * time.Millisecond
+	DefaultModelLoadTime   = 2500 * time.Millisecond
 	DefaultFullWait        = 1500 * time.Millisecond
 	DefaultQueueTime       = 60 * time.Millisecond
 	DefaultFarTime         = 3 * time.Millisecond
@@ -110,7 +115,7 @@
 		value time.Duration
 	}{
 		{&c.StepTime, DefaultStepTime}, {&c.LoadTime, DefaultLoadTime}, {&c.LoadPrice, DefaultLoadPrice},
-		{&c.FullWait, DefaultFullWait}, {&c.QueueTime, DefaultQueueTime}, {&c.FarTime, DefaultFarTime},
+		{&c.ModelLoadTime, DefaultModelLoadTime}, {&c.FullWait, DefaultFullWait}, {&c.QueueTime, DefaultQueueTime}, {&c.FarTime, DefaultFarTime},
 		{&c.HomeStep, DefaultHomeStep}, {&c.FailurePrice, DefaultFailurePrice}, {&c.SuspectPrice, DefaultSuspectPrice},
 		{&c.ColdPrice, DefaultColdPrice}, {&c.NearEqual, DefaultNearEqual},
 	} {
@@ -168,6 +173,9 @@
 	if e.IsCold {
 		expected += c.ColdPrice
 	}
+	if e.LacksModel {
+		expected += c.ModelLoadTime
+	}
 	switch e.Residency {
 	case Absent:
 		expected += c.LoadTime * time.Duration(1+e.LoadsAhead)
