Share unread prompt tokens among entries, prefer engines that held an adapter lately, fewer loads at once

Sidecars read the operators' table every 10 s in place of a held read.

Ruled out: held reads as the cause of the storm of datagrams (it was a loop on an engine that was down).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -19,6 +19,8 @@
 	// loadPatience is how long a request waits for an adapter at one endpoint before another is considered; several
 	// times an undisturbed load.
 	loadPatience = 1200 * time.Millisecond
+	// loadPause is the time after which endpoints that all failed to get an adapter are tried again; a short part of a load.
+	loadPause = 50 * time.Millisecond
 	// loadReminder is the interval at which the sidecar is told again, in case a datagram was lost.
 	loadReminder = 60 * time.Millisecond
 	// wholeMost bounds an answer that is held as a whole before it is passed on.
@@ -71,21 +73,39 @@
 			w.version = x.f.fleet.version(x.call.Model)
 		}
 		e, _, residency, ok := x.f.choose(w)
-		if !ok {
+		if !ok && len(w.failed) == 0 {
 			return nil, refuseFull("no-endpoint", fullPause)
 		}
+		if !ok {
+			// Each endpoint has failed to get the adapter once. They are tried again after a pause.
+			w.failed = nil
+			select {
+			case <-time.After(loadPause):
+			case <-ctx.Done():
+			}
+			continue
+		}
 		if residency == selector.Resident {
 			return e, nil
 		}
-		if x.awaitAdapter(ctx, e, w.version) {
+		there, lost := x.awaitAdapter(ctx, e, w.version)
+		if there {
 			return e, nil
 		}
+		// An endpoint that is only slow to load stays eligible: moving on at once would have the adapter loaded twice,
+		// and loads slow one another down.
+		if lost {
+			if w.failed == nil {
+				w.failed = map[run]bool{}
+			}
+			w.failed[run{id: e.ID, born: e.Born}] = true
+		}
 	}
 }
 
 // awaitAdapter asks the endpoint's sidecar for the adapter and waits until it is there, the endpoint is worse than it
 // seemed, or loadPatience is over.
-func (x *exchange) awaitAdapter(ctx context.Context, e *endpoint, version int64) bool {
+func (x *exchange) awaitAdapter(ctx context.Context, e *endpoint, version int64) (isThere, isLost bool) {
 	f := x.f.fleet
 	f.mu.Lock()
 	e.useOf(x.call.Model, version).waiting++
@@ -107,20 +127,17 @@
 		there := e.residency(x.call.Model, version) == selector.Resident
 		lost := e.IsLeaving || e.state.IsDown || f.byRun[run{id: e.ID, born: e.Born}] != e
 		f.mu.Unlock()
-		if there {
-			return true
-		}
-		if lost {
-			return false
+		if there || lost {
+			return there, lost
 		}
 		select {
 		case <-changed:
 		case <-remind.C:
 			x.f.config.Demand(address)
 		case <-end.C:
-			return false
+			return false, false
 		case <-ctx.Done():
-			return false
+			return false, false
 		}
 	}
 }
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -25,6 +25,8 @@
 	keptPartsMost = 2048
 	// usesMost bounds the adapters remembered for one endpoint beyond those that it holds.
 	usesMost = 64
+	// warmMost is the number of adapters that an engine is believed to load fast, those that it holds included.
+	warmMost = 44
 )
 
 // run names one run of an endpoint. An endpoint may come back under its ID.
@@ -44,10 +46,15 @@
 	resident map[registrar.AdapterKey]int64
 	loading  map[registrar.AdapterKey]int64
 	uses     map[registrar.AdapterKey]*use
+	// warm holds adapters that the engine held lately, with the time of the last sight: it loads them much faster.
+	warm map[registrar.AdapterKey]time.Time
 	// open is the number of this entry's open requests there, and sentSince that of requests sent since the report.
 	open, sentSince int
-	// unread is the number of prompt tokens sent there and not yet answered by a first event.
-	unread float64
+	// unread is the number of prompt tokens sent there and not yet answered by a first event, othersUnread that of the
+	// other entries.
+	unread, othersUnread float64
+	// isDirty says that the sidecar should hear of unread soon.
+	isDirty bool
 	// failureShare is as of failureAt.
 	failureShare float64
 	failureAt    time.Time
@@ -75,6 +82,7 @@
 // fleet is this entry's view of all endpoints.
 type fleet struct {
 	mu        sync.Mutex
+	vm        string
 	domain    string
 	now       func() time.Time
 	byRun     map[run]*endpoint
@@ -83,9 +91,9 @@
 	versions  map[registrar.AdapterKey]int64
 }
 
-func newFleet(domain string, now func() time.Time) *fleet {
+func newFleet(vm, domain string, now func() time.Time) *fleet {
 	return &fleet{
-		domain: domain, now: now, byRun: map[run]*endpoint{}, byService: map[string][]*endpoint{},
+		vm: vm, domain: domain, now: now, byRun: map[run]*endpoint{}, byService: map[string][]*endpoint{},
 		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{},
 	}
 }
@@ -102,7 +110,7 @@
 		if e == nil {
 			e = &endpoint{
 				uses: map[registrar.AdapterKey]*use{}, resident: map[registrar.AdapterKey]int64{},
-				loading: map[registrar.AdapterKey]int64{}, kept: map[partKey]time.Time{}, changed: make(chan struct{}),
+				loading: map[registrar.AdapterKey]int64{}, warm: map[registrar.AdapterKey]time.Time{}, kept: map[partKey]time.Time{}, changed: make(chan struct{}),
 			}
 		}
 		if e.stateAt.IsZero() || f.now().Sub(e.stateAt) > stateLife {
@@ -154,13 +162,38 @@
 		return
 	}
 	if !s.IsDown {
+		now := f.now()
+		for key := range e.resident {
+			e.warm[key] = now
+		}
 		e.resident, e.loading = adapterSet(s.Resident), adapterSet(s.Loading)
+		e.coolOldest()
+	}
+	e.othersUnread = 0
+	for _, u := range s.Unread {
+		if u.VM != f.vm {
+			e.othersUnread += float64(u.Tokens)
+		}
 	}
 	e.state, e.stateAt, e.sentSince = s, f.now(), 0
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
 
+// coolOldest forgets the adapters seen longest ago beyond what an engine keeps at hand.
+func (e *endpoint) coolOldest() {
+	for len(e.warm) > warmMost {
+		var oldest registrar.AdapterKey
+		var at time.Time
+		for key, seen := range e.warm {
+			if at.IsZero() || seen.Before(at) {
+				oldest, at = key, seen
+			}
+		}
+		delete(e.warm, oldest)
+	}
+}
+
 func adapterSet(names []wire.AdapterName) map[registrar.AdapterKey]int64 {
 	set := make(map[registrar.AdapterKey]int64, len(names))
 	for _, n := range names {
@@ -177,8 +210,8 @@
 	request selector.Request
 	// only, when not nil, restricts the choice.
 	only map[run]bool
-	// avoid holds the endpoints that have failed this request.
-	avoid map[run]bool
+	// avoid holds the endpoints that have failed this request, and failed those that did not get the adapter in time.
+	avoid, failed map[run]bool
 }
 
 // candidates lists the endpoints that may serve, with the costs' inputs.
@@ -189,7 +222,7 @@
 	endpoints := make([]*endpoint, 0, len(list))
 	for _, e := range list {
 		key := run{id: e.ID, born: e.Born}
-		if e.IsLeaving || w.avoid[key] || w.only != nil && !w.only[key] {
+		if e.IsLeaving || w.avoid[key] || w.failed[key] || w.only != nil && !w.only[key] {
 			continue
 		}
 		endpoints = append(endpoints, e)
@@ -214,6 +247,7 @@
 		c.Busy = max(e.open, e.state.Running+e.state.Waiting+e.sentSince)
 		c.FreeTokens = float64(e.state.TotalTokens - e.state.UsedTokens)
 		c.IsSuspect = c.IsSuspect || e.state.IsDown
+		c.UnreadTokens += e.othersUnread
 	}
 	if _, held := e.resident[registrar.AdapterKey{Model: w.call.Model.Model}]; !held && w.call.Model.Model != "" {
 		c.LacksModel, c.Residency = true, selector.Absent
@@ -221,6 +255,7 @@
 	if w.call.Model.Adapter != "" {
 		c.Residency = e.residency(w.call.Model, w.version)
 		c.HasRoom, c.LoadsAhead = e.room()
+		_, c.IsWarm = e.warm[w.call.Model]
 	}
 	c.KeptTokens = e.keptTokens(w.call)
 	return c
@@ -315,6 +350,7 @@
 	e.open++
 	e.sentSince++
 	e.unread += unread
+	e.isDirty = e.isDirty || unread > 0
 	u := e.useOf(call.Model, version)
 	u.open++
 	u.recent++
@@ -386,6 +422,20 @@
 	IsUrgent bool
 }
 
+// dirty returns the demand for the engines whose sidecars should hear of a change soon.
+func (f *fleet) dirty() []EngineDemand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []EngineDemand
+	for _, e := range f.byRun {
+		if e.isDirty && e.engine != nil {
+			e.isDirty = false
+			list = append(list, e.demand())
+		}
+	}
+	return list
+}
+
 // demands returns the demand for each engine, or for the one at an address. Boot, Sequence and VM are left to the caller.
 func (f *fleet) demands(address string) []EngineDemand {
 	f.mu.Lock()
@@ -407,7 +457,7 @@
 
 func (e *endpoint) demand() EngineDemand {
 	d := EngineDemand{Address: e.Address, Message: wire.EntryDemand{
-		EndpointID: e.ID, Wanted: []wire.AdapterDemand{}, Used: []wire.AdapterDemand{},
+		EndpointID: e.ID, UnreadTokens: int64(e.unread), Wanted: []wire.AdapterDemand{}, Used: []wire.AdapterDemand{},
 	}}
 	for key, u := range e.uses {
 		if key.Model == "" {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -90,7 +90,7 @@
 func New(c Config) *Forwarder {
 	c.Selector = c.Selector.WithDefaults()
 	return &Forwarder{
-		config: c, fleet: newFleet(c.Domain, c.Now), start: c.Now(), budgets: map[string]*budget{},
+		config: c, fleet: newFleet(c.VM, c.Domain, c.Now), start: c.Now(), budgets: map[string]*budget{},
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)),
 	}
 }
@@ -361,6 +361,9 @@
 // Demands returns what this entry asks of each engine's sidecar, or of the one at the address when it isn't empty.
 func (f *Forwarder) Demands(address string) []EngineDemand { return f.fleet.demands(address) }
 
+// ChangedDemands returns what this entry asks of the engines whose sidecars should hear of a change soon.
+func (f *Forwarder) ChangedDemands() []EngineDemand { return f.fleet.dirty() }
+
 // Tidy closes connections that are no longer needed and forgets what is out of date. It is called now and then.
 func (f *Forwarder) Tidy() {
 	f.config.Pool.Tidy(f.fleet.isKnown)
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -5,6 +5,7 @@
 package orderer
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -25,19 +26,22 @@
 	// tellEvery is the longest time between two messages to the entries, and tellLeast the shortest for a change of
 	// the load alone; a change of the adapters is told at once.
 	tellEvery = 800 * time.Millisecond
-	tellLeast = 150 * time.Millisecond
+	tellLeast = 50 * time.Millisecond
 	// demandLife is how long an entry's demand counts without being told again.
 	demandLife = 3 * time.Second
 	// weightHalfLife halves the weight of past requests when an adapter to unload is chosen.
 	weightHalfLife = 20 * time.Second
-	// maxLoading is the number of adapters that may be on their way to one engine.
-	maxLoading = 4
+	// maxLoading is the number of adapters on their way to one engine at once. The engine allows four, but loads share
+	// the weight store's speed, and those that begin first should end first.
+	maxLoading = 2
 	// callTimeout bounds a call to the engine on the same VM.
 	callTimeout = 400 * time.Millisecond
 	// downAfter is the number of reports in a row without an answer after which the engine counts as down.
 	downAfter = 2
 	// fencePause is the time between two attempts to get a fencing number.
 	fencePause = 300 * time.Millisecond
+	// unreadStep is the growth of an entry's unread tokens that the other entries hear of at once; a short prompt.
+	unreadStep = 500
 )
 
 // Report is the engine's word on itself.
@@ -123,6 +127,7 @@
 type entryDemand struct {
 	at      time.Time
 	address string
+	unread  int64
 	used    map[Adapter]Demand
 }
 
@@ -169,13 +174,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.config.Now()
-	demand := entryDemand{at: now, address: from, used: map[Adapter]Demand{}}
+	demand := entryDemand{at: now, address: from, unread: d.UnreadTokens, used: map[Adapter]Demand{}}
 	counts := o.recent[d.VM]
 	if counts == nil {
 		counts = map[Adapter]int{}
 		o.recent[d.VM] = counts
 	}
-	isNew := o.entries[d.VM].address != from
+	before := o.entries[d.VM]
+	isNew := before.address != from || before.unread+unreadStep < d.UnreadTokens
 	for _, u := range d.Used {
 		a := Adapter{Model: u.Model, Name: u.Adapter}
 		demand.used[a] = Demand{Version: u.Version, Open: u.Open}
@@ -209,6 +215,20 @@
 	}
 }
 
+// unread lists the entries' unread tokens.
+func (o *Orderer) unread() []wire.UnreadTokens {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := []wire.UnreadTokens{}
+	for vm, e := range o.entries {
+		if e.unread > 0 {
+			list = append(list, wire.UnreadTokens{VM: vm, Tokens: e.unread})
+		}
+	}
+	slices.SortFunc(list, func(a, b wire.UnreadTokens) int { return cmp.Compare(a.VM, b.VM) })
+	return list
+}
+
 // demands sums what the entries ask for, and returns the entries to tell.
 func (o *Orderer) demands() (map[Adapter]Demand, []string) {
 	o.mu.Lock()
@@ -406,7 +426,7 @@
 func (o *Orderer) tell(r Report, to []string) {
 	s := wire.EngineState{
 		Address: o.config.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, UsedTokens: r.Used, TotalTokens: r.Total,
-		Resident: names(r.Resident), Loading: names(r.Loading),
+		Unread: o.unread(), Resident: names(r.Resident), Loading: names(r.Loading),
 	}
 	for model, version := range r.Models {
 		s.Resident = append(s.Resident, wire.AdapterName{Model: model, Version: version})
@@ -416,7 +436,7 @@
 	})
 	adaptersChanged := s.Born != o.told.Born || o.told.IsDown ||
 		!slices.Equal(s.Resident, o.told.Resident) || !slices.Equal(s.Loading, o.told.Loading)
-	loadChanged := s.Running != o.told.Running || s.Waiting != o.told.Waiting
+	loadChanged := s.Running != o.told.Running || s.Waiting != o.told.Waiting || !slices.Equal(s.Unread, o.told.Unread)
 	o.send(s, to, adaptersChanged || loadChanged && o.config.Now().Sub(o.toldAt) >= tellLeast)
 }
 
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -47,13 +47,15 @@
 const (
 	// operatorsWait holds reads of the operators' table open: a change arrives at once, and a connection that has gone
 	// silent is noticed soon enough.
-	operatorsWait = time.Second
+	operatorsWait = 2 * time.Second
 	// endpointsPause is the time between two reads of the endpoints' table, in which something changes all the time. A
 	// leaving endpoint must get nothing new after two seconds.
-	endpointsPause = 450 * time.Millisecond
+	endpointsPause = 800 * time.Millisecond
 	// demandEvery is the time between two messages to a sidecar.
-	demandEvery = 400 * time.Millisecond
-	tidyEvery   = time.Second
+	demandEvery = 600 * time.Millisecond
+	// changedEvery is the time between two looks for sidecars that should hear of new requests.
+	changedEvery = 40 * time.Millisecond
+	tidyEvery    = time.Second
 	// copyEvery is the time between two looks for newer tables at peers, copyTimeout bounds one copy.
 	copyEvery   = 250 * time.Millisecond
 	copyTimeout = 800 * time.Millisecond
@@ -196,8 +198,10 @@
 }
 
 // sendDemand tells the sidecar of the engine at the address, or all sidecars, what this entry asks.
-func (e *Entry) sendDemand(address string) {
-	for _, d := range e.forwarder.Demands(address) {
+func (e *Entry) sendDemand(address string) { e.sendDemands(e.forwarder.Demands(address)) }
+
+func (e *Entry) sendDemands(demands []forwarder.EngineDemand) {
+	for _, d := range demands {
 		host, _, err := net.SplitHostPort(d.Address)
 		if err != nil {
 			continue
@@ -238,10 +242,10 @@
 // copyTables takes newer tables from peers while the store doesn't answer this entry.
 func (e *Entry) copyTables(ctx context.Context) {
 	for _, f := range []*registrar.Follower{e.operators, e.endpoints} {
-		if f.SinceAnswer() < storeSilence {
+		table := f.Table()
+		if table.Version > 0 && f.SinceAnswer() < storeSilence {
 			continue
 		}
-		table := f.Table()
 		for _, address := range e.sharer.Newer(f.Name(), table.Version) {
 			rows, err := fetchTable(ctx, address, f.Name())
 			if err != nil {
@@ -257,8 +261,9 @@
 	}
 }
 
-// storeSilence is the time without an answer of the store after which peers are asked.
-const storeSilence = 1500 * time.Millisecond
+// storeSilence is the time without an answer of the store after which peers are asked. A
+// process that has just started asks at once.
+const storeSilence = 1500*time.Millisecond + operatorsWait
 
 var copyClient = &http.Client{Timeout: copyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
@@ -339,6 +344,7 @@
 	addLoop(&group, func(ctx context.Context) error {
 		return looper.Run(ctx, e.gossiper.Run, e.operators.Run, e.endpoints.Run, e.exchange,
 			looper.Every(demandEvery, func(context.Context) { e.sendDemand("") }),
+			looper.Every(changedEvery, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands()) }),
 			looper.Every(tidyEvery, func(context.Context) { e.forwarder.Tidy() }),
 			looper.Every(copyEvery, e.copyTables))
 	})
--- a/internal/resident/sidecar.go
+++ b/internal/resident/sidecar.go
@@ -17,9 +17,9 @@
 	"geraniumladder/internal/wire"
 )
 
-// sidecarWait holds a sidecar's reads of the operators' table open. It needs only the slots of its engine, which seldom
-// change, so it makes few calls.
-const sidecarWait = 20 * time.Second
+// sidecarPause is the time between two reads of the operators' table. A sidecar needs only the capacity of its engine,
+// which seldom changes, so it makes few calls.
+const sidecarPause = 10 * time.Second
 
 // loadsTable has a row for each service with the times of the latest loads of models from the weight store.
 const loadsTable = "loads"
@@ -45,7 +45,7 @@
 	// Fence returns a fencing number above all that the VM has had.
 	Fence func(ctx context.Context) (int64, error)
 	// LoadWindow is the time over which the fleet's loads of models from the weight store are counted.
-	LoadWindow time.Duration
+	LoadWindow  time.Duration
 	MemoryBytes int64
 	Reload      func() error
 	Log         zerolog.Logger
@@ -59,7 +59,7 @@
 	gossiper *gossiper.Gossiper
 	meter    *meter.Meter
 	// capacity is nil while it isn't known.
-	capacity  atomic.Pointer[orderer.Capacity]
+	capacity atomic.Pointer[orderer.Capacity]
 	// loads is the number of models that the fleet may load in a LoadWindow; at least 1.
 	loads     atomic.Int64
 	operators *registrar.Follower
@@ -78,7 +78,7 @@
 	}
 	s := &Sidecar{config: c, log: c.Log, gossiper: g, meter: instruments}
 	s.operators = registrar.NewFollower(registrar.FollowerConfig{
-		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: sidecarWait,
+		Table: c.Platform.OperatorsTable(), Source: c.Platform, Pause: sidecarPause,
 		OnChange: s.setOperators, Now: time.Now, Log: c.Log,
 	})
 	s.orderer = orderer.New(orderer.Config{
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -335,6 +335,9 @@
 	Sequence    int64 `json:"Sequence"`
 	TotalTokens int64 `json:"TotalTokens"`
 
+	// Unread What each entry last told, without those that have none.
+	Unread []UnreadTokens `json:"Unread"`
+
 	// UsedTokens KV cache memory that running requests hold, in tokens.
 	UsedTokens int64 `json:"UsedTokens"`
 	Waiting    int   `json:"Waiting"`
@@ -351,6 +354,9 @@
 	// Sequence Rises with each message of one run.
 	Sequence int64 `json:"Sequence"`
 
+	// UnreadTokens Prompt tokens that the entry has sent and that the engine hasn't read yet.
+	UnreadTokens int64 `json:"UnreadTokens"`
+
 	// Used Adapters that open requests use.
 	Used []AdapterDemand `json:"Used"`
 	VM   string          `json:"Vm"`
@@ -672,6 +678,12 @@
 	Version int64  `json:"Version"`
 }
 
+// UnreadTokens Prompt tokens that an entry has sent to an engine and that the engine hasn't read yet.
+type UnreadTokens struct {
+	Tokens int64  `json:"Tokens"`
+	VM     string `json:"Vm"`
+}
+
 // VoidReply defines model for VoidReply.
 type VoidReply struct {
 	Incarnation string         `json:"Incarnation"`
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -35,6 +35,8 @@
 	// FreeTokens is the KV cache memory that no running request holds.
 	FreeTokens float64
 	Residency  Residency
+	// IsWarm says that the engine held the adapter lately and loads it fast.
+	IsWarm bool
 	// HasRoom says that an adapter can be loaded without waiting for another to fall idle.
 	HasRoom bool
 	// LoadsAhead is the number of adapters that wait there to be loaded.
@@ -67,6 +69,8 @@
 	StepTime time.Duration
 	// LoadTime is the time of an adapter load.
 	LoadTime time.Duration
+	// WarmTime is the time of a load at an engine that held the adapter lately.
+	WarmTime time.Duration
 	// LoadPrice is added to a load, because a second copy of an adapter takes the place of another one.
 	LoadPrice time.Duration
 	// ModelLoadTime is added at an engine that lacks the base model.
@@ -93,6 +97,7 @@
 	DefaultReadTokensPerMs = 32
 	DefaultStepTime        = 2 * time.Millisecond
 	DefaultLoadTime        = 260 * time.Millisecond
+	DefaultWarmTime        = 50 * time.Millisecond
 	DefaultLoadPrice       = 250 * time.Millisecond
 	DefaultModelLoadTime   = 2500 * time.Millisecond
 	DefaultFullWait        = 1500 * time.Millisecond
@@ -114,7 +119,7 @@
 		field *time.Duration
 		value time.Duration
 	}{
-		{&c.StepTime, DefaultStepTime}, {&c.LoadTime, DefaultLoadTime}, {&c.LoadPrice, DefaultLoadPrice},
+		{&c.StepTime, DefaultStepTime}, {&c.LoadTime, DefaultLoadTime}, {&c.LoadPrice, DefaultLoadPrice}, {&c.WarmTime, DefaultWarmTime},
 		{&c.ModelLoadTime, DefaultModelLoadTime}, {&c.FullWait, DefaultFullWait}, {&c.QueueTime, DefaultQueueTime}, {&c.FarTime, DefaultFarTime},
 		{&c.HomeStep, DefaultHomeStep}, {&c.FailurePrice, DefaultFailurePrice}, {&c.SuspectPrice, DefaultSuspectPrice},
 		{&c.ColdPrice, DefaultColdPrice}, {&c.NearEqual, DefaultNearEqual},
@@ -178,8 +183,14 @@
 	}
 	switch e.Residency {
 	case Absent:
-		expected += c.LoadTime * time.Duration(1+e.LoadsAhead)
-		cost += c.LoadPrice + time.Duration(e.HomeRank)*c.HomeStep
+		if e.IsWarm {
+			expected += c.WarmTime
+			cost += c.WarmTime
+		} else {
+			expected += c.LoadTime
+			cost += c.LoadPrice + time.Duration(e.HomeRank)*c.HomeStep
+		}
+		expected += c.LoadTime * time.Duration(e.LoadsAhead)
 		if !e.HasRoom {
 			expected += c.FullWait
 		}
