--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -47,8 +47,11 @@
 	if refusal != nil {
 		return refusal, false
 	}
-	if x.tries > 0 && !x.f.mayRepeat(x.service) {
-		return refuseFull("retry-budget", fullPause), false
+	if x.tries > 0 {
+		if !x.f.mayRepeat(x.service) {
+			return refuseFull("retry-budget", fullPause), false
+		}
+		x.f.config.Observer.Retry(x.organisationName())
 	}
 	return x.send(ctx, e)
 }
@@ -72,7 +75,7 @@
 		if x.call.Model.Adapter != "" {
 			w.version = x.f.fleet.version(x.call.Model)
 		}
-		e, _, residency, ok := x.f.choose(w)
+		e, chosen, ok := x.f.choose(w)
 		if !ok && len(w.failed) == 0 {
 			return nil, refuseFull("no-endpoint", fullPause)
 		}
@@ -85,11 +88,14 @@
 			}
 			continue
 		}
-		if residency == selector.Resident {
+		x.chosen = chosen
+		if chosen.residency == selector.Resident {
+			x.placed = x.f.config.Now()
 			return e, nil
 		}
 		there, lost := x.awaitAdapter(ctx, e, w.version)
 		if there {
+			x.placed = x.f.config.Now()
 			return e, nil
 		}
 		// An endpoint that is only slow to load stays eligible: moving on at once would have the adapter loaded twice,
@@ -324,6 +330,9 @@
 		if end := eventsEnd(buffer); end > 0 {
 			if first {
 				first = false
+				if x.firstAfter == 0 {
+					x.firstAfter = x.f.config.Now().Sub(x.arrived)
+				}
 				read()
 				x.outcome(e, false, false)
 			}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -36,6 +36,8 @@
 type Admitter interface {
 	// Admit takes tokens of the organisation's limit. Without success it returns when enough may be there.
 	Admit(o *registrar.Organisation, tokens float64) (ok bool, after time.Duration)
+	// Refund gives back the tokens of an admitted request that has not run.
+	Refund(o *registrar.Organisation, tokens float64)
 }
 
 // Observer counts for metrics.
@@ -153,11 +155,29 @@
 	// lastEvent is the last event that the caller has of its stream, and begun that the answer's head was sent.
 	lastEvent string
 	begun     bool
+	// placed, chosen and firstAfter are for the log: when the last endpoint was found, what was expected of it, and the
+	// time from the arrival to the first event.
+	placed     time.Time
+	chosen     placement
+	firstAfter time.Duration
+	// admitted is the number of tokens taken of the organisation's limit.
+	admitted float64
 	// kept is a failure that an endpoint answered with, to be passed on when nothing better follows.
 	kept *whole
 	log  zerolog.Logger
 }
 
+// placement is what the last choice of an endpoint rested on.
+type placement struct {
+	endpoint  string
+	expected  time.Duration
+	residency selector.Residency
+	// stateAge is the age of the sidecar's report; negative without one.
+	stateAge time.Duration
+	busy     int
+	unread   float64
+}
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
@@ -238,6 +258,7 @@
 			x.refuse(refuseLimit(after))
 			return
 		}
+		x.admitted = x.tokens()
 	}
 	x.f.counted(x.service)
 	x.sent, x.avoid = map[run]bool{}, map[run]bool{}
@@ -256,6 +277,9 @@
 
 // finish ends an exchange that got no answer to pass on.
 func (x *exchange) finish(ctx context.Context, refusal *Refusal) {
+	if !x.mayHaveRun && x.admitted > 0 {
+		x.f.config.Admitter.Refund(x.organisation, x.admitted)
+	}
 	switch {
 	case x.r.Context().Err() != nil:
 		x.note("caller-left", 0)
@@ -305,7 +329,14 @@
 		e = e.Str("Route", x.route.Name).Int64("Revision", x.configuration.Version())
 	}
 	if x.call.Model.Model != "" {
-		e = e.Str("Model", x.call.Model.String())
+		e = e.Str("Model", x.call.Model.String()).Float64("PromptTokens", x.call.PromptTokens)
+	}
+	if x.chosen.endpoint != "" {
+		e = e.Str("Endpoint", x.chosen.endpoint).Dur("Expected", x.chosen.expected).Stringer("Residency", x.chosen.residency).
+			Dur("StateAge", x.chosen.stateAge).Int("Busy", x.chosen.busy).Float64("Unread", x.chosen.unread)
+	}
+	if !x.placed.IsZero() {
+		e = e.Dur("PlacedAfter", x.placed.Sub(x.arrived)).Dur("FirstAfter", x.firstAfter)
 	}
 	e.Msg("forwarder: request ended")
 }
@@ -344,8 +375,8 @@
 	return b
 }
 
-// choose picks an endpoint and counts the request there.
-func (f *Forwarder) choose(w *want) (*endpoint, selector.Choice, selector.Residency, bool) {
+// choose picks an endpoint.
+func (f *Forwarder) choose(w *want) (*endpoint, placement, bool) {
 	f.fleet.mu.Lock()
 	defer f.fleet.mu.Unlock()
 	candidates, endpoints := f.fleet.candidates(w)
@@ -353,9 +384,16 @@
 	choice, ok := selector.Choose(f.config.Selector, w.request, candidates, f.rng)
 	f.mu.Unlock()
 	if !ok {
-		return nil, choice, selector.Absent, false
+		return nil, placement{}, false
+	}
+	e, c := endpoints[choice.Index], candidates[choice.Index]
+	p := placement{
+		endpoint: e.ID, expected: choice.Expected, residency: c.Residency, stateAge: -1, busy: c.Busy, unread: c.UnreadTokens,
+	}
+	if !e.stateAt.IsZero() {
+		p.stateAge = f.config.Now().Sub(e.stateAt)
 	}
-	return endpoints[choice.Index], choice, candidates[choice.Index].Residency, true
+	return e, p, true
 }
 
 // Demands returns what this entry asks of each engine's sidecar, or of the one at the address when it isn't empty.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -191,3 +191,6 @@
 	o.last[sender] = heard{stamp: s, at: now}
 	return true
 }
+
+// Address is the local HOST:PORT.
+func (g *Gossiper) Address() string { return g.conn.LocalAddr().String() }
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -21,12 +21,12 @@
 	// scarce limit.
 	TellEvery   = 200 * time.Millisecond
 	TellSoonest = 25 * time.Millisecond
-	// heardLife is how long a message proves that its sender hears and is heard: several messages in a row would have
-	// to be lost.
-	heardLife = 1200 * time.Millisecond
+	// heardLife is how long a message proves that its sender hears and is heard: three messages in a row would have to
+	// be lost. While a cut is not noticed, each side may spend the whole limit.
+	heardLife = 700 * time.Millisecond
 	// memberLife is how long an entry that is not heard of keeps its part of the limits. It may be alive behind a cut.
 	memberLife = 20 * time.Second
-	// seedLife is how long seeds are told of this entry without an answer: an entry may be replaced by then.
+	// seedEvery is the time between two messages to seeds that are not known as entries.
 	seedEvery = time.Second
 )
 
@@ -48,9 +48,13 @@
 	// heardAt is when its last message arrived, hearsAt when a message last said that it hears this entry.
 	heardAt, hearsAt time.Time
 	isLeaving        bool
-	spent            map[string]int64
-	tables           map[string]int64
-	wasMutual        bool
+	// hears holds the entries that the peer hears and is heard by, as it last told.
+	hears map[string]bool
+	// agreedAt is when the peer's set of entries was last the same as this entry's.
+	agreedAt  time.Time
+	spent     map[string]int64
+	tables    map[string]int64
+	wasMutual bool
 }
 
 // Sharer is safe for use by several goroutines.
@@ -166,7 +170,11 @@
 	for _, t := range m.Tables {
 		p.tables[t.Table] = t.Version
 	}
+	p.hears = make(map[string]bool, len(m.Heard))
 	for _, h := range m.Heard {
+		if h.IsMutual {
+			p.hears[h.VM] = true
+		}
 		switch {
 		case h.VM == s.config.VM:
 			p.hearsAt = now.Add(-time.Duration(h.AgeMs) * time.Millisecond)
@@ -193,10 +201,13 @@
 	p.spent = next
 }
 
-// regroup counts the entries, and those that hear of one another.
+// regroup counts the entries, and those that share one copy of the limits: the entries that hear of one another and of
+// no others than this one does. Such groups don't overlap, so what they may spend adds up to the limit, whichever links
+// are cut.
 func (s *Sharer) regroup() {
 	now := s.config.Now()
-	group, members := 1, 1
+	members := 1
+	mutual := map[string]bool{}
 	for name, p := range s.peers {
 		if p.isLeaving && now.Sub(p.heardAt) > heardLife || !p.heardAt.IsZero() && now.Sub(p.heardAt) > memberLife {
 			delete(s.peers, name)
@@ -207,14 +218,23 @@
 			continue
 		}
 		members++
-		isMutual := now.Sub(p.heardAt) < heardLife && now.Sub(p.hearsAt) < heardLife
-		if isMutual {
-			group++
+		if p.isMutual(now) {
+			mutual[name] = true
 		}
-		if isMutual != p.wasMutual {
-			s.config.Log.Info().Str("Peer", name).Bool("IsMutual", isMutual).Dur("Heard", now.Sub(p.heardAt)).
+		if mutual[name] != p.wasMutual {
+			s.config.Log.Info().Str("Peer", name).Bool("IsMutual", mutual[name]).Dur("Heard", now.Sub(p.heardAt)).
 				Dur("Hears", now.Sub(p.hearsAt)).Msg("sharer: contact changed")
-			p.wasMutual = isMutual
+			p.wasMutual = mutual[name]
+		}
+	}
+	group := 1
+	for name := range mutual {
+		p := s.peers[name]
+		if s.agrees(name, p, mutual) {
+			p.agreedAt = now
+		}
+		if now.Sub(p.agreedAt) < heardLife {
+			group++
 		}
 	}
 	if group == s.group && members == s.members {
@@ -227,6 +247,23 @@
 	}
 }
 
+func (p *peer) isMutual(now time.Time) bool {
+	return now.Sub(p.heardAt) < heardLife && now.Sub(p.hearsAt) < heardLife
+}
+
+// agrees says whether the peer hears of the same entries as this one.
+func (s *Sharer) agrees(name string, p *peer, mutual map[string]bool) bool {
+	if len(p.hears) != len(mutual) || !p.hears[s.config.VM] {
+		return false
+	}
+	for other := range mutual {
+		if other != name && !p.hears[other] {
+			return false
+		}
+	}
+	return true
+}
+
 // Message returns the message to the other entries and their addresses.
 func (s *Sharer) Message(boot string, sequence int64, tables map[string]int64) (wire.EntryState, []string) {
 	s.mu.Lock()
@@ -244,7 +281,7 @@
 	for name, p := range s.peers {
 		to = append(to, p.address)
 		if age := now.Sub(p.heardAt); age < heardLife {
-			m.Heard = append(m.Heard, wire.PeerHeard{VM: name, Address: p.address, AgeMs: age.Milliseconds()})
+			m.Heard = append(m.Heard, wire.PeerHeard{VM: name, Address: p.address, AgeMs: age.Milliseconds(), IsMutual: p.isMutual(now)})
 		}
 	}
 	for name, t := range s.tallies {
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -555,7 +555,10 @@
 type PeerHeard struct {
 	Address string `json:"Address"`
 	AgeMs   int64  `json:"AgeMs"`
-	VM      string `json:"Vm"`
+
+	// IsMutual The sender and the peer hear of each other.
+	IsMutual bool   `json:"IsMutual"`
+	VM       string `json:"Vm"`
 }
 
 // RepayRequest Reports how much of a grant was spent; the rest returns to the lender.
--- /dev/null
+++ b/pkg/limiter/tally_test.go
@@ -0,0 +1,152 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"geraniumladder/pkg/limiter"
+)
+
+// tallyFleet plays entries that tell one another with a delay, or are cut off from one another.
+type tallyFleet struct {
+	tallies []limiter.Tally
+	told    []float64
+	// heard[i][j] is what entry i knows of what entry j has admitted.
+	heard [][]float64
+}
+
+func newTallyFleet(n int, c limiter.TallyConfig) *tallyFleet {
+	f := &tallyFleet{}
+	for range n {
+		f.tallies = append(f.tallies, limiter.NewTally(c, 0).WithGroup(n, n, 0))
+		f.told = append(f.told, 0)
+		f.heard = append(f.heard, make([]float64, n))
+	}
+	return f
+}
+
+func (f *tallyFleet) exchange(now time.Duration) {
+	for i := range f.tallies {
+		f.tallies[i], f.told[i] = f.tallies[i].Told()
+	}
+	for i := range f.tallies {
+		for j := range f.tallies {
+			if i != j {
+				f.tallies[i] = f.tallies[i].WithPeerSpent(f.told[j]-f.heard[i][j], now)
+				f.heard[i][j] = f.told[j]
+			}
+		}
+	}
+}
+
+// TestTallyWindows guards against an organisation that gets more than rate·t + burst and what the entries may admit
+// between two exchanges, in any window, at any number of entries and any spread of its requests over them.
+func TestTallyWindows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 21).Draw(t, "entries")
+		c := limiter.TallyConfig{
+			Rate: rapid.Float64Range(1000, 200000).Draw(t, "rate"), Allowance: 55000,
+		}
+		c.Burst = c.Rate * rapid.Float64Range(0.2, 2).Draw(t, "burst")
+		request := rapid.Float64Range(100, 20000).Draw(t, "request")
+		f := newTallyFleet(n, c)
+		const step, length = 5 * time.Millisecond, 3 * time.Second
+		every := time.Duration(rapid.IntRange(1, 40).Draw(t, "exchangeSteps")) * step
+		perStep := rapid.IntRange(1, 4).Draw(t, "perStep")
+		type admission struct {
+			at     time.Duration
+			tokens float64
+		}
+		var admitted []admission
+		lead := rapid.IntRange(0, n-1).Draw(t, "lead")
+		for now := time.Duration(0); now < length; now += step {
+			for k := range perStep {
+				i := (lead + k*int(now/step)) % n
+				var ok bool
+				f.tallies[i], ok, _ = f.tallies[i].Admit(request, now)
+				if ok {
+					admitted = append(admitted, admission{at: now, tokens: request})
+				}
+			}
+			if now%every == 0 {
+				f.exchange(now)
+			}
+		}
+		// Between two exchanges each entry admits at least one request, or its part of allowance and level.
+		slack := float64(n)*request + c.Allowance + 2*c.Burst
+		for i := range admitted {
+			sum := 0.0
+			for _, a := range admitted[i:] {
+				sum += a.tokens
+				window := (a.at - admitted[i].at).Seconds()
+				if bound := c.Rate*window + c.Burst + slack; sum > bound {
+					t.Fatalf("%.0f tokens in %.3f s, bound %.0f", sum, window, bound)
+				}
+			}
+		}
+	})
+}
+
+// TestTallyRepays guards against an excess that accumulates: over a long time the fleet admits the rate.
+func TestTallyRepays(t *testing.T) {
+	c := limiter.TallyConfig{Rate: 10000, Burst: 10000, Allowance: 55000}
+	f := newTallyFleet(4, c)
+	total := 0.0
+	const step, length = 10 * time.Millisecond, 60 * time.Second
+	for now := time.Duration(0); now < length; now += step {
+		i := int(now/step) % 4
+		var ok bool
+		if f.tallies[i], ok, _ = f.tallies[i].Admit(3000, now); ok {
+			total += 3000
+		}
+		if now%(200*time.Millisecond) == 0 {
+			f.exchange(now)
+		}
+	}
+	most := c.Rate*length.Seconds() + c.Burst + 4*3000
+	assert.Assert(t, total <= most, "%v of at most %v", total, most)
+	assert.Assert(t, total >= 0.9*c.Rate*length.Seconds(), "%v is less than what the limit allows", total)
+}
+
+// TestTallyCut guards against entries that are cut off from one another and each use the whole limit.
+func TestTallyCut(t *testing.T) {
+	c := limiter.TallyConfig{Rate: 10000, Burst: 10000}
+	total := 0.0
+	for range 4 {
+		tally := limiter.NewTally(c, 0).WithGroup(1, 4, 0)
+		for now := time.Duration(0); now < 8*time.Second; now += 10 * time.Millisecond {
+			var ok bool
+			if tally, ok, _ = tally.Admit(500, now); ok {
+				total += 500
+			}
+		}
+	}
+	most := c.Rate*8 + c.Burst
+	assert.Assert(t, total <= most, "%v of at most %v", total, most)
+}
+
+// TestTallyRefund guards against requests that have not run and use up a limit, and against refunds above the burst.
+func TestTallyRefund(t *testing.T) {
+	c := limiter.TallyConfig{Rate: 1000, Burst: 1000}
+	tally := limiter.NewTally(c, 0)
+	full := 10 * time.Second
+	tally, ok, _ := tally.Admit(800, full)
+	assert.Assert(t, ok)
+	_, ok, after := tally.Admit(800, full)
+	assert.Assert(t, !ok && after > 0)
+	tally = tally.Refund(800, full)
+	assert.Equal(t, tally.Level(full), 1000.0)
+	assert.Equal(t, tally.Refund(5000, full).Level(full), 1000.0)
+	_, told := tally.Told()
+	assert.Equal(t, told, 0.0)
+}
+
+// TestTallySmallOrganisationAtManyEntries guards against a limit so small that no entry's part fits one request.
+func TestTallySmallOrganisationAtManyEntries(t *testing.T) {
+	tally := limiter.NewTally(limiter.TallyConfig{Rate: 29000, Burst: 29000, Allowance: 1000}, 0).WithGroup(21, 21, 0)
+	_, ok, _ := tally.Admit(10000, 2*time.Second)
+	assert.Assert(t, ok)
+}
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -19,6 +19,19 @@
 	Resident
 )
 
+// String names the residency for logs.
+func (r Residency) String() string {
+	switch r {
+	case Absent:
+		return "absent"
+	case Loading:
+		return "loading"
+	case Resident:
+		return "resident"
+	}
+	return "unknown"
+}
+
 // Candidate is what an entry believes of one endpoint.
 type Candidate struct {
 	ID string
