--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -45,6 +45,8 @@
 	// resident holds the adapters that the engine is believed to hold, loading those on their way.
 	resident map[registrar.AdapterKey]int64
 	loading  map[registrar.AdapterKey]int64
+	// used holds the resident adapters that requests of any entry use, as of the sidecar's last report.
+	used map[registrar.AdapterKey]bool
 	uses     map[registrar.AdapterKey]*use
 	// warm holds adapters that the engine held lately, with the time of the last sight: it loads them much faster.
 	warm map[registrar.AdapterKey]time.Time
@@ -168,6 +170,12 @@
 		}
 		e.resident, e.loading = adapterSet(s.Resident), adapterSet(s.Loading)
 		e.coolOldest()
+		e.used = map[registrar.AdapterKey]bool{}
+		for _, a := range s.Resident {
+			if a.IsUsed {
+				e.used[registrar.AdapterKey{Model: a.Model, Adapter: a.Adapter}] = true
+			}
+		}
 	}
 	e.othersUnread = 0
 	for _, u := range s.Unread {
@@ -254,7 +262,7 @@
 	}
 	if w.call.Model.Adapter != "" {
 		c.Residency = e.residency(w.call.Model, w.version)
-		c.HasRoom, c.LoadsAhead = e.room()
+		c.HasRoom, c.LoadsAhead = e.room(w.call.Model)
 		_, c.IsWarm = e.warm[w.call.Model]
 	}
 	c.KeptTokens = e.keptTokens(w.call)
@@ -277,21 +285,29 @@
 	return selector.Absent
 }
 
-// room says whether an adapter can be loaded without waiting for one in use, and how many wait to be loaded.
-func (e *endpoint) room() (hasRoom bool, ahead int) {
-	inUse := 0
-	for key, u := range e.uses {
-		if key.Adapter == "" {
-			continue
-		}
-		if u.open > 0 {
-			inUse++
+// room says whether the adapter can be loaded without waiting for one in use, and how many wait to be loaded.
+func (e *endpoint) room(wanted registrar.AdapterKey) (hasRoom bool, ahead int) {
+	taken := len(e.loading)
+	for key := range e.resident {
+		if key.Adapter != "" && e.isUsed(key) {
+			taken++
 		}
-		if u.waiting > 0 && e.residency(key, u.version) == selector.Absent {
+	}
+	for key, u := range e.uses {
+		if key.Adapter != "" && key != wanted && u.waiting > 0 && e.residency(key, u.version) == selector.Absent {
 			ahead++
 		}
 	}
-	return e.engine.AdapterSlots == 0 || inUse+len(e.loading)+ahead < e.engine.AdapterSlots, ahead
+	if _, isOutdated := e.resident[wanted]; isOutdated && e.isUsed(wanted) {
+		// The new version replaces the old one only when the requests on that have ended.
+		return false, ahead
+	}
+	return e.engine.AdapterSlots == 0 || taken+ahead < e.engine.AdapterSlots, ahead
+}
+
+func (e *endpoint) isUsed(key registrar.AdapterKey) bool {
+	u := e.uses[key]
+	return e.used[key] || u != nil && u.open > 0
 }
 
 // chains returns a hash for each leading run of the call's parts.
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -36,6 +36,9 @@
 	maxLoading = 2
 	// callTimeout bounds a call to the engine on the same VM.
 	callTimeout = 400 * time.Millisecond
+	// orderTimeout bounds an order. The engine on the same VM answers within milliseconds; one that takes longer may carry
+	// the order out late, which the number of orders it expects makes harmless.
+	orderTimeout = 80 * time.Millisecond
 	// downAfter is the number of reports in a row without an answer after which the engine counts as down.
 	downAfter = 2
 	// fencePause is the time between two attempts to get a fencing number.
@@ -311,7 +314,7 @@
 		}
 	}
 	o.restless = len(report.Loading) > 0 || ordered
-	o.tell(report, to)
+	o.tell(report, demands, to)
 }
 
 func (o *Orderer) report(ctx context.Context) (Report, error) {
@@ -360,7 +363,7 @@
 
 // give gives one order and says whether to go on.
 func (o *Orderer) give(ctx context.Context, step Step, report Report, demands map[Adapter]Demand) bool {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	o.mu.Lock()
 	id := o.endpointID
@@ -423,7 +426,7 @@
 }
 
 // tell tells the entries the engine's state: a change of its adapters at once, of its load soon, else now and then.
-func (o *Orderer) tell(r Report, to []string) {
+func (o *Orderer) tell(r Report, demands map[Adapter]Demand, to []string) {
 	s := wire.EngineState{
 		Address: o.config.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, UsedTokens: r.Used, TotalTokens: r.Total,
 		Unread: o.unread(), Resident: names(r.Resident), Loading: names(r.Loading),
@@ -435,11 +438,22 @@
 		return compareAdapters(Adapter{Model: a.Model, Name: a.Adapter}, Adapter{Model: b.Model, Name: b.Adapter})
 	})
 	adaptersChanged := s.Born != o.told.Born || o.told.IsDown ||
-		!slices.Equal(s.Resident, o.told.Resident) || !slices.Equal(s.Loading, o.told.Loading)
-	loadChanged := s.Running != o.told.Running || s.Waiting != o.told.Waiting || !slices.Equal(s.Unread, o.told.Unread)
+		!slices.EqualFunc(s.Resident, o.told.Resident, isSameAdapter) || !slices.Equal(s.Loading, o.told.Loading)
+	for i, a := range s.Resident {
+		d := demands[Adapter{Model: a.Model, Name: a.Adapter}]
+		s.Resident[i].IsUsed = d.Open > 0 || d.Waiting > 0
+	}
+	loadChanged := s.Running != o.told.Running || s.Waiting != o.told.Waiting || !slices.Equal(s.Unread, o.told.Unread) ||
+		!slices.Equal(s.Resident, o.told.Resident)
 	o.send(s, to, adaptersChanged || loadChanged && o.config.Now().Sub(o.toldAt) >= tellLeast)
 }
 
+// isSameAdapter compares two adapters without regard to their use.
+func isSameAdapter(a, b wire.AdapterName) bool {
+	a.IsUsed, b.IsUsed = false, false
+	return a == b
+}
+
 func (o *Orderer) send(s wire.EngineState, to []string, isDue bool) {
 	now := o.config.Now()
 	if !isDue && now.Sub(o.toldAt) < tellEvery {
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -228,9 +228,12 @@
 	Version int64 `json:"Version"`
 }
 
-// AdapterName An adapter version.
+// AdapterName An adapter version, or the weights of a model when Adapter is empty.
 type AdapterName struct {
 	Adapter string `json:"Adapter"`
+
+	// IsUsed Requests use it or wait for it, so that it stays.
+	IsUsed  bool   `json:"IsUsed,omitempty"`
 	Model   string `json:"Model"`
 	Version int64  `json:"Version"`
 }
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -111,7 +111,7 @@
 	DefaultStepTime        = 2 * time.Millisecond
 	DefaultLoadTime        = 260 * time.Millisecond
 	DefaultWarmTime        = 50 * time.Millisecond
-	DefaultLoadPrice       = 250 * time.Millisecond
+	DefaultLoadPrice       = 500 * time.Millisecond
 	DefaultModelLoadTime   = 2500 * time.Millisecond
 	DefaultFullWait        = 1500 * time.Millisecond
 	DefaultQueueTime       = 60 * time.Millisecond
