--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -47,7 +47,7 @@
 	loading  map[registrar.AdapterKey]int64
 	// used holds the resident adapters that requests of any entry use, as of the sidecar's last report.
 	used map[registrar.AdapterKey]bool
-	uses     map[registrar.AdapterKey]*use
+	uses map[registrar.AdapterKey]*use
 	// warm holds adapters that the engine held lately, with the time of the last sight: it loads them much faster.
 	warm map[registrar.AdapterKey]time.Time
 	// open is the number of this entry's open requests there, and sentSince that of requests sent since the report.
@@ -55,6 +55,8 @@
 	// unread is the number of prompt tokens sent there and not yet answered by a first event, othersUnread that of the
 	// other entries.
 	unread, othersUnread float64
+	// toldUnread is what the sidecar was last told of unread.
+	toldUnread float64
 	// isDirty says that the sidecar should hear of unread soon.
 	isDirty bool
 	// failureShare is as of failureAt.
@@ -84,7 +86,6 @@
 // fleet is this entry's view of all endpoints.
 type fleet struct {
 	mu        sync.Mutex
-	vm        string
 	domain    string
 	now       func() time.Time
 	byRun     map[run]*endpoint
@@ -93,9 +94,9 @@
 	versions  map[registrar.AdapterKey]int64
 }
 
-func newFleet(vm, domain string, now func() time.Time) *fleet {
+func newFleet(domain string, now func() time.Time) *fleet {
 	return &fleet{
-		vm: vm, domain: domain, now: now, byRun: map[run]*endpoint{}, byService: map[string][]*endpoint{},
+		domain: domain, now: now, byRun: map[run]*endpoint{}, byService: map[string][]*endpoint{},
 		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{},
 	}
 }
@@ -163,27 +164,23 @@
 	if e == nil || e.Born != 0 && s.Born != 0 && e.Born != s.Born {
 		return
 	}
-	if !s.IsDown {
+	if s.Adapters != nil && !s.IsDown {
 		now := f.now()
 		for key := range e.resident {
 			e.warm[key] = now
 		}
-		e.resident, e.loading = adapterSet(s.Resident), adapterSet(s.Loading)
+		e.resident, e.loading = adapterSet(s.Adapters.Resident), adapterSet(s.Adapters.Loading)
 		e.coolOldest()
 		e.used = map[registrar.AdapterKey]bool{}
-		for _, a := range s.Resident {
+		for _, a := range s.Adapters.Resident {
 			if a.IsUsed {
 				e.used[registrar.AdapterKey{Model: a.Model, Adapter: a.Adapter}] = true
 			}
 		}
 	}
-	e.othersUnread = 0
-	for _, u := range s.Unread {
-		if u.VM != f.vm {
-			e.othersUnread += float64(u.Tokens)
-		}
-	}
+	e.othersUnread = max(0, float64(s.UnreadTokens)-e.toldUnread)
 	e.state, e.stateAt, e.sentSince = s, f.now(), 0
+	e.state.Adapters = nil
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
@@ -472,6 +469,7 @@
 }
 
 func (e *endpoint) demand() EngineDemand {
+	e.toldUnread = e.unread
 	d := EngineDemand{Address: e.Address, Message: wire.EntryDemand{
 		EndpointID: e.ID, UnreadTokens: int64(e.unread), Wanted: []wire.AdapterDemand{}, Used: []wire.AdapterDemand{},
 	}}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -92,7 +92,7 @@
 func New(c Config) *Forwarder {
 	c.Selector = c.Selector.WithDefaults()
 	return &Forwarder{
-		config: c, fleet: newFleet(c.VM, c.Domain, c.Now), start: c.Now(), budgets: map[string]*budget{},
+		config: c, fleet: newFleet(c.Domain, c.Now), start: c.Now(), budgets: map[string]*budget{},
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)),
 	}
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -515,7 +515,7 @@
 	assert.Equal(t, e.count(), 0)
 	f.SetState(wire.EngineState{
 		Address:  e.listener.Addr().String(),
-		Resident: []wire.AdapterName{{Model: "base", Version: 1}, {Model: "base", Adapter: "a1", Version: 1}},
+		Adapters: &wire.EngineAdapters{Resident: []wire.AdapterName{{Model: "base", Version: 1}, {Model: "base", Adapter: "a1", Version: 1}}},
 	})
 	got := <-end
 	assert.Equal(t, got.status, 200)
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -5,7 +5,6 @@
 package orderer
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -27,6 +26,8 @@
 	// the load alone; a change of the adapters is told at once.
 	tellEvery = 800 * time.Millisecond
 	tellLeast = 50 * time.Millisecond
+	// tellPerEntry lengthens the shortest interval for each entry.
+	tellPerEntry = 10 * time.Millisecond
 	// demandLife is how long an entry's demand counts without being told again.
 	demandLife = 3 * time.Second
 	// weightHalfLife halves the weight of past requests when an adapter to unload is chosen.
@@ -152,7 +153,10 @@
 	failures int
 	told     wire.EngineState
 	toldAt   time.Time
-	restless bool
+	// toldTo is the number of entries told last, adaptersAt when they were told the adapters.
+	toldTo     int
+	adaptersAt time.Time
+	restless   bool
 }
 
 type weight struct {
@@ -218,18 +222,15 @@
 	}
 }
 
-// unread lists the entries' unread tokens.
-func (o *Orderer) unread() []wire.UnreadTokens {
+// unread sums the entries' unread tokens.
+func (o *Orderer) unread() int64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	list := []wire.UnreadTokens{}
-	for vm, e := range o.entries {
-		if e.unread > 0 {
-			list = append(list, wire.UnreadTokens{VM: vm, Tokens: e.unread})
-		}
+	sum := int64(0)
+	for _, e := range o.entries {
+		sum += e.unread
 	}
-	slices.SortFunc(list, func(a, b wire.UnreadTokens) int { return cmp.Compare(a.VM, b.VM) })
-	return list
+	return sum
 }
 
 // demands sums what the entries ask for, and returns the entries to tell.
@@ -331,7 +332,7 @@
 	if o.failures >= downAfter {
 		down := o.told
 		down.Address, down.IsDown = o.config.Address, true
-		o.send(down, to, o.failures == downAfter)
+		o.send(down, to, o.failures == downAfter, false)
 	}
 }
 
@@ -425,27 +426,33 @@
 	return true
 }
 
-// tell tells the entries the engine's state: a change of its adapters at once, of its load soon, else now and then.
+// tell tells the entries the engine's state: a change of its adapters at once, of its load or of the use of its adapters
+// soon, else now and then.
 func (o *Orderer) tell(r Report, demands map[Adapter]Demand, to []string) {
-	s := wire.EngineState{
-		Address: o.config.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, UsedTokens: r.Used, TotalTokens: r.Total,
-		Unread: o.unread(), Resident: names(r.Resident), Loading: names(r.Loading),
-	}
+	adapters := &wire.EngineAdapters{Resident: names(r.Resident), Loading: names(r.Loading)}
 	for model, version := range r.Models {
-		s.Resident = append(s.Resident, wire.AdapterName{Model: model, Version: version})
+		adapters.Resident = append(adapters.Resident, wire.AdapterName{Model: model, Version: version})
 	}
-	slices.SortFunc(s.Resident, func(a, b wire.AdapterName) int {
+	slices.SortFunc(adapters.Resident, func(a, b wire.AdapterName) int {
 		return compareAdapters(Adapter{Model: a.Model, Name: a.Adapter}, Adapter{Model: b.Model, Name: b.Adapter})
 	})
-	adaptersChanged := s.Born != o.told.Born || o.told.IsDown ||
-		!slices.EqualFunc(s.Resident, o.told.Resident, isSameAdapter) || !slices.Equal(s.Loading, o.told.Loading)
-	for i, a := range s.Resident {
-		d := demands[Adapter{Model: a.Model, Name: a.Adapter}]
-		s.Resident[i].IsUsed = d.Open > 0 || d.Waiting > 0
+	s := wire.EngineState{
+		Address: o.config.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, UsedTokens: r.Used, TotalTokens: r.Total,
+		UnreadTokens: o.unread(), Adapters: adapters,
 	}
-	loadChanged := s.Running != o.told.Running || s.Waiting != o.told.Waiting || !slices.Equal(s.Unread, o.told.Unread) ||
-		!slices.Equal(s.Resident, o.told.Resident)
-	o.send(s, to, adaptersChanged || loadChanged && o.config.Now().Sub(o.toldAt) >= tellLeast)
+	held := o.told.Adapters
+	adaptersChanged := held == nil || s.Born != o.told.Born || o.told.IsDown || len(to) > o.toldTo ||
+		!slices.EqualFunc(adapters.Resident, held.Resident, isSameAdapter) || !slices.Equal(adapters.Loading, held.Loading)
+	for i, a := range adapters.Resident {
+		d := demands[Adapter{Model: a.Model, Name: a.Adapter}]
+		adapters.Resident[i].IsUsed = d.Open > 0 || d.Waiting > 0
+	}
+	useChanged := held != nil && !slices.Equal(adapters.Resident, held.Resident)
+	loadChanged := s.Running != o.told.Running || s.Waiting != o.told.Waiting || s.UnreadTokens != o.told.UnreadTokens
+	// The messages of all sidecars grow with the number of entries, so the interval does too.
+	least := max(tellLeast, time.Duration(len(to))*tellPerEntry)
+	o.toldTo = len(to)
+	o.send(s, to, adaptersChanged || (loadChanged || useChanged) && o.config.Now().Sub(o.toldAt) >= least, adaptersChanged || useChanged)
 }
 
 // isSameAdapter compares two adapters without regard to their use.
@@ -454,12 +461,18 @@
 	return a == b
 }
 
-func (o *Orderer) send(s wire.EngineState, to []string, isDue bool) {
+// send tells the state if it is due. The adapters are left out when they are known, but not for long: a datagram may be lost.
+func (o *Orderer) send(s wire.EngineState, to []string, isDue, withAdapters bool) {
 	now := o.config.Now()
 	if !isDue && now.Sub(o.toldAt) < tellEvery {
 		return
 	}
 	o.told, o.toldAt = s, now
+	if !withAdapters && now.Sub(o.adaptersAt) < tellEvery {
+		s.Adapters = nil
+	} else {
+		o.adaptersAt = now
+	}
 	if len(to) > 0 {
 		o.config.Tell(s, to)
 	}
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -308,7 +308,7 @@
 		synctest.Wait()
 		last := out.states[len(out.states)-1]
 		assert.Assert(t, !last.IsDown)
-		assert.DeepEqual(t, last.Unread, []wire.UnreadTokens{{VM: "entry", Tokens: 700}})
+		assert.Equal(t, last.UnreadTokens, int64(700))
 		e.isDown = true
 		o.SetDemand(demand(2, 700), "entry:1")
 		time.Sleep(500 * time.Millisecond)
@@ -335,6 +335,6 @@
 		content, err := json.Marshal(out.states[0])
 		assert.NilError(t, err)
 		assert.Assert(t, json.Valid(content))
-		assert.Assert(t, out.states[0].Loading != nil && out.states[0].Unread != nil)
+		assert.Assert(t, out.states[0].Adapters != nil && out.states[0].Adapters.Loading != nil)
 	})
 }
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -48,9 +48,9 @@
 	// operatorsWait holds reads of the operators' table open: a change arrives at once, and a connection that has gone
 	// silent is noticed soon enough.
 	operatorsWait = 2 * time.Second
-	// endpointsPause is the time between two reads of the endpoints' table, in which something changes all the time. A
-	// leaving endpoint must get nothing new after two seconds.
-	endpointsPause = 800 * time.Millisecond
+	// endpointsPauses is the number of reads of the endpoints' table, in which something changes all the time, while a
+	// leaving endpoint may still get requests.
+	endpointsPauses = 2.5
 	// demandEvery is the time between two messages to a sidecar.
 	demandEvery = 600 * time.Millisecond
 	// changedEvery is the time between two looks for sidecars that should hear of new requests.
@@ -96,7 +96,9 @@
 	// LimitAllowance is the number of tokens by which entries may exceed a limit together.
 	LimitAllowance float64
 	StopTimeout    time.Duration
-	MemoryBytes    int64
+	// LeaveTime is how long after its notice a leaving endpoint may still get requests.
+	LeaveTime   time.Duration
+	MemoryBytes int64
 	// Reload is called when the settings file may have changed.
 	Reload func() error
 	Log    zerolog.Logger
@@ -145,7 +147,8 @@
 		OnChange: e.setOperators, Now: time.Now, Log: c.Log,
 	})
 	e.endpoints = registrar.NewFollower(registrar.FollowerConfig{
-		Table: c.Platform.EndpointsTable(), Source: c.Platform, Pause: endpointsPause, KeepsLapsed: true,
+		Table: c.Platform.EndpointsTable(), Source: c.Platform,
+		Pause: time.Duration(float64(c.LeaveTime) / endpointsPauses), KeepsLapsed: true,
 		OnChange: e.setEndpoints, Now: time.Now, Log: c.Log,
 	})
 	gossiper.Handle(g, kindEngineState, func(s wire.EngineState) (string, gossiper.Stamp) {
@@ -214,20 +217,21 @@
 
 // exchange tells the other entries about this one, at a steady interval and sooner when a limit is scarce.
 func (e *Entry) exchange(ctx context.Context) error {
-	ticker := time.NewTicker(sharer.TellEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(sharer.TellEvery)
+	defer timer.Stop()
 	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
 		case <-e.sharer.Wake():
 			if pause := sharer.TellSoonest - time.Since(last); pause > 0 {
 				time.Sleep(pause)
 			}
 		}
 		last = time.Now()
+		timer.Reset(e.sharer.TellEvery())
 		stamp := e.gossiper.Next()
 		message, to := e.sharer.Message(stamp.Boot, stamp.Sequence, map[string]int64{
 			e.config.Platform.OperatorsTable(): e.operators.Table().Version,
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -17,16 +17,19 @@
 )
 
 const (
-	// TellEvery is the time between two messages to the other entries, and TellSoonest that after an admission from a
-	// scarce limit.
-	TellEvery   = 200 * time.Millisecond
+	// TellEvery is the time between two messages to the other entries while they are few. It grows by tellPerEntry with
+	// each, because every entry tells every other one.
+	TellEvery    = 200 * time.Millisecond
+	tellPerEntry = 20 * time.Millisecond
+	// TellSoonest is the time between two messages after an admission from a scarce limit.
 	TellSoonest = 25 * time.Millisecond
-	// heardLife is how long a message proves that its sender hears and is heard: three messages in a row would have to
-	// be lost. While a cut is not noticed, each side may spend the whole limit.
-	heardLife = 700 * time.Millisecond
+	// heardMessages in a row must be lost before a sender is no longer heard. While a cut is not noticed, each side may
+	// spend the whole limit.
+	heardMessages = 3.5
 	// memberLife is how long an entry that is not heard of keeps its part of the limits. It may be alive behind a cut.
 	memberLife = 20 * time.Second
-	// seedEvery is the time between two messages to seeds that are not known as entries.
+	// seedEvery is the time between two messages to seeds that are not known as entries, and between two lists of
+	// addresses.
 	seedEvery = time.Second
 )
 
@@ -171,16 +174,18 @@
 		p.tables[t.Table] = t.Version
 	}
 	p.hears = make(map[string]bool, len(m.Heard))
-	for _, h := range m.Heard {
-		if h.IsMutual {
-			p.hears[h.VM] = true
+	for _, name := range m.Heard {
+		p.hears[name] = !slices.Contains(m.OneWay, name)
+		if name == s.config.VM {
+			p.hearsAt = now
 		}
-		switch {
-		case h.VM == s.config.VM:
-			p.hearsAt = now.Add(-time.Duration(h.AgeMs) * time.Millisecond)
-		case s.peers[h.VM] == nil:
-			// Told of at second hand: this entry tells it of itself, and counts it once it answers.
-			s.peers[h.VM] = &peer{address: h.Address}
+	}
+	if m.Known != nil {
+		for _, known := range *m.Known {
+			if known.VM != s.config.VM && s.peers[known.VM] == nil {
+				// Told of at second hand: this entry tells it of itself, and counts it once it answers.
+				s.peers[known.VM] = &peer{address: known.Address}
+			}
 		}
 	}
 	s.takeSpent(p, m.Spent)
@@ -209,7 +214,7 @@
 	members := 1
 	mutual := map[string]bool{}
 	for name, p := range s.peers {
-		if p.isLeaving && now.Sub(p.heardAt) > heardLife || !p.heardAt.IsZero() && now.Sub(p.heardAt) > memberLife {
+		if p.isLeaving && now.Sub(p.heardAt) > s.heardLife() || !p.heardAt.IsZero() && now.Sub(p.heardAt) > memberLife {
 			delete(s.peers, name)
 			s.config.Log.Info().Str("Peer", name).Bool("IsLeaving", p.isLeaving).Msg("sharer: entry forgotten")
 			continue
@@ -218,7 +223,7 @@
 			continue
 		}
 		members++
-		if p.isMutual(now) {
+		if s.isMutual(p, now) {
 			mutual[name] = true
 		}
 		if mutual[name] != p.wasMutual {
@@ -233,7 +238,7 @@
 		if s.agrees(name, p, mutual) {
 			p.agreedAt = now
 		}
-		if now.Sub(p.agreedAt) < heardLife {
+		if now.Sub(p.agreedAt) < s.heardLife() {
 			group++
 		}
 	}
@@ -247,13 +252,35 @@
 	}
 }
 
-func (p *peer) isMutual(now time.Time) bool {
-	return now.Sub(p.heardAt) < heardLife && now.Sub(p.hearsAt) < heardLife
+// TellEvery is the time between two messages to the other entries.
+func (s *Sharer) TellEvery() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tellEvery()
+}
+
+func (s *Sharer) tellEvery() time.Duration {
+	return TellEvery + time.Duration(s.members-1)*tellPerEntry
+}
+
+// heardLife is how long a message proves that its sender hears and is heard.
+func (s *Sharer) heardLife() time.Duration {
+	return time.Duration(heardMessages * float64(s.tellEvery()))
+}
+
+func (s *Sharer) isMutual(p *peer, now time.Time) bool {
+	return now.Sub(p.heardAt) < s.heardLife() && now.Sub(p.hearsAt) < s.heardLife()
 }
 
 // agrees says whether the peer hears of the same entries as this one.
 func (s *Sharer) agrees(name string, p *peer, mutual map[string]bool) bool {
-	if len(p.hears) != len(mutual) || !p.hears[s.config.VM] {
+	hears := 0
+	for _, isMutual := range p.hears {
+		if isMutual {
+			hears++
+		}
+	}
+	if hears != len(mutual) || !p.hears[s.config.VM] {
 		return false
 	}
 	for other := range mutual {
@@ -272,16 +299,21 @@
 	now := s.config.Now()
 	m := wire.EntryState{
 		Boot: boot, Sequence: sequence, VM: s.config.VM, Address: s.config.Address, IsLeaving: s.isLeaving,
-		Tables: []wire.TableVersion{}, Heard: []wire.PeerHeard{}, Spent: []wire.OrganisationSpent{},
+		Tables: []wire.TableVersion{}, Heard: []string{}, OneWay: []string{}, Spent: []wire.OrganisationSpent{},
 	}
 	for table, version := range tables {
 		m.Tables = append(m.Tables, wire.TableVersion{Table: table, Version: version})
 	}
 	var to []string
+	var known []wire.PeerAddress
 	for name, p := range s.peers {
 		to = append(to, p.address)
-		if age := now.Sub(p.heardAt); age < heardLife {
-			m.Heard = append(m.Heard, wire.PeerHeard{VM: name, Address: p.address, AgeMs: age.Milliseconds(), IsMutual: p.isMutual(now)})
+		if now.Sub(p.heardAt) < s.heardLife() {
+			m.Heard = append(m.Heard, name)
+			if !s.isMutual(p, now) {
+				m.OneWay = append(m.OneWay, name)
+			}
+			known = append(known, wire.PeerAddress{VM: name, Address: p.address})
 		}
 	}
 	for name, t := range s.tallies {
@@ -293,6 +325,7 @@
 	}
 	if now.Sub(s.seededAt) >= seedEvery {
 		s.seededAt = now
+		m.Known = &known
 		for _, seed := range s.config.Seeds {
 			if !slices.Contains(to, seed) {
 				to = append(to, seed)
@@ -320,7 +353,7 @@
 	}
 	var found []copyOf
 	for _, p := range s.peers {
-		if v := p.tables[table]; v > version && now.Sub(p.heardAt) < heardLife {
+		if v := p.tables[table]; v > version && now.Sub(p.heardAt) < s.heardLife() {
 			found = append(found, copyOf{address: p.address, version: v})
 		}
 	}
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -317,8 +317,17 @@
 	VM       string   `json:"Vm"`
 }
 
+// EngineAdapters What an engine holds. Left out of an EngineState when it hasn't changed since the last one.
+type EngineAdapters struct {
+	Loading  []AdapterName `json:"Loading"`
+	Resident []AdapterName `json:"Resident"`
+}
+
 // EngineState Sent by a sidecar to the entries, as one datagram, when the state of its engine changes and at a steady interval.
 type EngineState struct {
+	// Adapters What an engine holds. Left out of an EngineState when it hasn't changed since the last one.
+	Adapters *EngineAdapters `json:"Adapters,omitempty"`
+
 	// Address HOST:PORT of the engine.
 	Address string `json:"Address"`
 
@@ -329,17 +338,15 @@
 	Born int64 `json:"Born"`
 
 	// IsDown The engine didn't answer its sidecar.
-	IsDown   bool          `json:"IsDown"`
-	Loading  []AdapterName `json:"Loading"`
-	Resident []AdapterName `json:"Resident"`
-	Running  int           `json:"Running"`
+	IsDown  bool `json:"IsDown"`
+	Running int  `json:"Running"`
 
 	// Sequence Rises with each message of one run.
 	Sequence    int64 `json:"Sequence"`
 	TotalTokens int64 `json:"TotalTokens"`
 
-	// Unread What each entry last told, without those that have none.
-	Unread []UnreadTokens `json:"Unread"`
+	// UnreadTokens Sum of what the entries last told.
+	UnreadTokens int64 `json:"UnreadTokens"`
 
 	// UsedTokens KV cache memory that running requests hold, in tokens.
 	UsedTokens int64 `json:"UsedTokens"`
@@ -401,9 +408,17 @@
 	Address string `json:"Address"`
 
 	// Boot Names one run of the sender's process.
-	Boot      string      `json:"Boot"`
-	Heard     []PeerHeard `json:"Heard"`
-	IsLeaving bool        `json:"IsLeaving"`
+	Boot string `json:"Boot"`
+
+	// Heard VMs that the sender has heard from lately.
+	Heard     []string `json:"Heard"`
+	IsLeaving bool     `json:"IsLeaving"`
+
+	// Known Addresses of the entries; only now and then.
+	Known *[]PeerAddress `json:"Known,omitempty"`
+
+	// OneWay Those of Heard that don't hear the sender.
+	OneWay []string `json:"OneWay"`
 
 	// Sequence Rises with each message of one run.
 	Sequence int64               `json:"Sequence"`
@@ -554,14 +569,10 @@
 	Tokens int64 `json:"Tokens"`
 }
 
-// PeerHeard A peer that the sender has heard from lately.
-type PeerHeard struct {
+// PeerAddress defines model for PeerAddress.
+type PeerAddress struct {
 	Address string `json:"Address"`
-	AgeMs   int64  `json:"AgeMs"`
-
-	// IsMutual The sender and the peer hear of each other.
-	IsMutual bool   `json:"IsMutual"`
-	VM       string `json:"Vm"`
+	VM      string `json:"Vm"`
 }
 
 // RepayRequest Reports how much of a grant was spent; the rest returns to the lender.
@@ -684,12 +695,6 @@
 	Version int64  `json:"Version"`
 }
 
-// UnreadTokens Prompt tokens that an entry has sent to an engine and that the engine hasn't read yet.
-type UnreadTokens struct {
-	Tokens int64  `json:"Tokens"`
-	VM     string `json:"Vm"`
-}
-
 // VoidReply defines model for VoidReply.
 type VoidReply struct {
 	Incarnation string         `json:"Incarnation"`
