Requests that met another endpoint at their address go elsewhere; silent connections end within a second

A sidecar sent orders to the ID of the engine's earlier run for half a second after a restart, because entries still told it.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -43,6 +43,7 @@
 // Pool keeps connections by address. It is safe for use by several goroutines.
 type Pool struct {
 	config Config
+	dialer net.Dialer
 	mu     sync.Mutex
 	idle   map[string][]*Conn
 }
@@ -61,7 +62,26 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	return &Pool{config: c, idle: map[string][]*Conn{}}
+	return &Pool{config: c, dialer: net.Dialer{KeepAliveConfig: probes, Control: boundUnacknowledged}, idle: map[string][]*Conn{}}
+}
+
+// probes find a connection that has gone silent while an answer is awaited. A slow answer is not taken for silence,
+// because the endpoint's kernel acknowledges the probes.
+var probes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+
+const (
+	// unacknowledgedMost ends a connection on which sent bytes stay unacknowledged: several retransmissions.
+	unacknowledgedMost = time.Second
+	// tcpUserTimeout is the socket option of that bound, which package syscall doesn't name.
+	tcpUserTimeout = 0x12
+)
+
+func boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedMost.Milliseconds()))
+	})
+	return errors.Join(err, failure)
 }
 
 // Conn is one connection. At most one request uses it at a time.
@@ -92,8 +112,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to the endpoint")
 	}
--- /dev/null
+++ b/internal/connector/connector_test.go
@@ -0,0 +1,183 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"geraniumladder/internal/connector"
+)
+
+// listen accepts connections and hands each to serve with its number.
+func listen(t *testing.T, serve func(c net.Conn, n int)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c, n)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// answers serves requests with the header.
+func answers(header string) func(net.Conn, int) {
+	return func(c net.Conn, n int) {
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 1\r\n\r\n%d", header, n)
+		}
+	}
+}
+
+type clock struct{ now time.Time }
+
+func newPool(c *clock) *connector.Pool {
+	return connector.New(connector.Config{Now: func() time.Time { return c.now }})
+}
+
+var request = &connector.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("x")}
+
+// exchange sends a request and returns the number of the connection that carried it.
+func exchange(t *testing.T, p *connector.Pool, address string, maxIdle time.Duration) string {
+	t.Helper()
+	c, err := p.Get(t.Context(), address, maxIdle)
+	assert.NilError(t, err)
+	assert.NilError(t, c.Send(request))
+	response, err := c.ReadAnswer(http.MethodPost)
+	assert.NilError(t, err)
+	content, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	c.Release(response)
+	return string(content)
+}
+
+// TestReuse guards against connections that are used after the endpoint has closed or is about to close them, and
+// against a new connection for each request.
+func TestReuse(t *testing.T) {
+	now := &clock{now: time.Unix(0, 0)}
+	p := newPool(now)
+	address := listen(t, answers("Keep-Alive: timeout=3\r\n"))
+	assert.Equal(t, exchange(t, p, address, time.Minute), "1")
+	assert.Equal(t, exchange(t, p, address, time.Minute), "1")
+	now.now = now.now.Add(time.Second)
+	assert.Equal(t, exchange(t, p, address, 100*time.Millisecond), "2", "idle for longer than the request allows")
+	now.now = now.now.Add(2500 * time.Millisecond)
+	assert.Equal(t, exchange(t, p, address, time.Minute), "3", "close to the endpoint's own timeout")
+	closing := listen(t, answers("Connection: close\r\n"))
+	assert.Equal(t, exchange(t, p, closing, time.Minute), "1")
+	assert.Equal(t, exchange(t, p, closing, time.Minute), "2")
+}
+
+// TestUnsolicitedBytes guards against bytes that arrive on an idle connection and are taken for an answer.
+func TestUnsolicitedBytes(t *testing.T) {
+	now := &clock{now: time.Unix(0, 0)}
+	p := newPool(now)
+	sent := make(chan struct{})
+	address := listen(t, func(c net.Conn, n int) {
+		reader := bufio.NewReader(c)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		if n == 1 {
+			<-sent
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+			sent <- struct{}{}
+		}
+	})
+	assert.Equal(t, exchange(t, p, address, time.Minute), "1")
+	sent <- struct{}{}
+	<-sent
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if exchange(t, p, address, time.Minute) != "1" {
+			return poll.Success()
+		}
+		return poll.Continue("the bytes have not arrived yet")
+	}, poll.WithTimeout(10*time.Second))
+}
+
+// TestClosedIdleConnection guards against a request on a connection that the endpoint has closed.
+func TestClosedIdleConnection(t *testing.T) {
+	now := &clock{now: time.Unix(0, 0)}
+	p := newPool(now)
+	closed := make(chan struct{})
+	address := listen(t, func(c net.Conn, n int) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		_ = c.Close()
+		if n == 1 {
+			close(closed)
+		}
+	})
+	assert.Equal(t, exchange(t, p, address, time.Minute), "1")
+	<-closed
+	assert.Equal(t, exchange(t, p, address, time.Minute), "2")
+}
+
+// TestNothingSentIsKnown guards against a failure to connect that counts as a request that may have run.
+func TestNothingSentIsKnown(t *testing.T) {
+	now := &clock{now: time.Unix(0, 0)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	_, err = newPool(now).Get(t.Context(), l.Addr().String(), time.Minute)
+	assert.ErrorContains(t, err, "connect to the endpoint")
+	address := listen(t, func(c net.Conn, _ int) { _ = c.Close() })
+	c, err := newPool(now).Get(context.Background(), address, time.Minute)
+	assert.NilError(t, err)
+	c.Close()
+	assert.Assert(t, errors.Is(c.Send(request), connector.ErrNotSent))
+}
+
+// TestTidy guards against connections that stay open to endpoints which are gone.
+func TestTidy(t *testing.T) {
+	now := &clock{now: time.Unix(0, 0)}
+	p := newPool(now)
+	address := listen(t, answers(""))
+	assert.Equal(t, exchange(t, p, address, time.Minute), "1")
+	p.Tidy(func(string) bool { return true })
+	assert.Equal(t, exchange(t, p, address, time.Minute), "1")
+	p.Tidy(func(string) bool { return false })
+	assert.Equal(t, exchange(t, p, address, time.Minute), "2")
+}
+
+// TestUnframedAnswerIsNotReused guards against the end of a connection that is taken for the end of another answer.
+func TestUnframedAnswerIsNotReused(t *testing.T) {
+	now := &clock{now: time.Unix(0, 0)}
+	p := newPool(now)
+	address := listen(t, func(c net.Conn, n int) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n%d", n)
+		_ = c.Close()
+	})
+	assert.Equal(t, exchange(t, p, address, time.Minute), "1")
+	assert.Equal(t, exchange(t, p, address, time.Minute), "2")
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -462,11 +462,13 @@
 	if ctx.Err() != nil {
 		return failTimeout(), false
 	}
-	if answer.IsOtherEndpoint && x.call.Model.Adapter != "" {
-		// The adapter or its version isn't there: the belief was out of date, and the sidecar loads it.
-		x.f.fleet.mu.Lock()
-		delete(e.resident, x.call.Model)
-		x.f.fleet.mu.Unlock()
+	if answer.IsMisdirected {
+		// The request has not reached an endpoint that could run it, so it doesn't count as sent to one.
+		delete(x.sent, key)
+		x.f.fleet.misdirected(e, answer.EndpointID, x.call.Model)
+		if answer.EndpointID != "" && answer.EndpointID != e.ID {
+			x.avoid[key] = true
+		}
 		return nil, false
 	}
 	x.avoid[key] = true
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -53,8 +53,10 @@
 	RequestID string
 	// IsNotRun answers promise that the endpoint did not run the request.
 	IsNotRun bool
-	// IsOtherEndpoint means that another endpoint has the address, or that it lacks the adapter or its version.
-	IsOtherEndpoint bool
+	// IsMisdirected means that another endpoint has the address, or that it lacks the adapter or its version.
+	IsMisdirected bool
+	// EndpointID is that of the endpoint that answers; empty when the answer doesn't say.
+	EndpointID string
 	// IsSigned answers come from an endpoint's own run.
 	IsSigned bool
 }
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -266,6 +266,17 @@
 	return c
 }
 
+// misdirected notes that the address belongs to another endpoint by now, or that the engine lacks the adapter or its version.
+func (f *fleet) misdirected(e *endpoint, answerer string, key registrar.AdapterKey) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if answerer != "" && answerer != e.ID {
+		e.suspectUntil = f.now().Add(suspectMost)
+		return
+	}
+	delete(e.resident, key)
+}
+
 // failures is the share of failures, halved for each failureHalfLife without an outcome.
 func (e *endpoint) failures(now time.Time) float64 {
 	halves := float64(now.Sub(e.failureAt)) / float64(failureHalfLife)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -172,7 +172,7 @@
 	endpoint  string
 	expected  time.Duration
 	residency selector.Residency
-	// stateAge is the age of the sidecar's report; negative without one.
+	// stateAge is the age of the sidecar's report; -1 ms without one.
 	stateAge time.Duration
 	busy     int
 	unread   float64
@@ -388,7 +388,7 @@
 	}
 	e, c := endpoints[choice.Index], candidates[choice.Index]
 	p := placement{
-		endpoint: e.ID, expected: choice.Expected, residency: c.Residency, stateAge: -1, busy: c.Busy, unread: c.UnreadTokens,
+		endpoint: e.ID, expected: choice.Expected, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, unread: c.UnreadTokens,
 	}
 	if !e.stateAt.IsZero() {
 		p.stateAge = f.config.Now().Sub(e.stateAt)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -56,8 +56,9 @@
 
 func (translator) DecodeAnswer(r *http.Response) forwarder.Answer {
 	return forwarder.Answer{
-		RequestID: r.Header.Get("Id"), IsNotRun: r.Header.Get("Not-Run") != "", IsOtherEndpoint: r.StatusCode == 421,
-		IsSigned: r.Header.Get("Signed") != "",
+		RequestID: r.Header.Get("Id"), IsNotRun: r.Header.Get("Not-Run") != "" || r.StatusCode == 421, IsMisdirected: r.StatusCode == 421,
+		EndpointID: r.Header.Get("Answerer"),
+		IsSigned:   r.Header.Get("Signed") != "",
 	}
 }
 
@@ -326,6 +327,20 @@
 	assert.Assert(t, got.header.Get("Retry-After") != "")
 }
 
+// TestReusedAddressGoesElsewhere guards against a refusal of a request that may be sent to one endpoint only and met
+// another one at its address, and against a request that is sent there again and again.
+func TestReusedAddressGoesElsewhere(t *testing.T) {
+	other := newEndpoint(t, "gone", func(c net.Conn, r *http.Request, _ int) bool {
+		return respond(c, r, 421, "Answerer: other\r\n", "")
+	})
+	live := newEndpoint(t, "live", ok)
+	f := newFixture(t, other, live)
+	for range 6 {
+		assert.Equal(t, f.send(t, "/once/", "").status, 200)
+	}
+	assert.Assert(t, other.count() <= 2, "%d requests", other.count())
+}
+
 // TestClosedPortIsNotRun guards against a failure for a request that never reached an endpoint.
 func TestClosedPortIsNotRun(t *testing.T) {
 	gone, live := newEndpoint(t, "gone", ok), newEndpoint(t, "live", ok)
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -147,6 +147,8 @@
 	weights    map[Adapter]weight
 	waiting    map[Adapter]time.Time
 	endpointID string
+	// rejectedID is an ID that the engine doesn't bear, which entries may tell for a while after it restarted.
+	rejectedID string
 
 	// The fields below are used by Run alone.
 	fence    int64
@@ -207,7 +209,7 @@
 		}
 	}
 	o.entries[d.VM] = demand
-	if d.EndpointID != "" {
+	if d.EndpointID != "" && d.EndpointID != o.rejectedID {
 		o.endpointID = d.EndpointID
 	}
 	if isNew || len(d.Wanted) > 0 {
@@ -384,7 +386,7 @@
 		return false
 	case Rejected:
 		o.mu.Lock()
-		o.endpointID = ""
+		o.endpointID, o.rejectedID = "", id
 		o.mu.Unlock()
 		return false
 	case Accepted, Conflict:
