--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -36,10 +36,20 @@
 type Admitter interface {
 	// Admit takes tokens of the organisation's limit. Without success it returns when enough may be there.
 	Admit(o *registrar.Organisation, tokens float64) (ok bool, after time.Duration)
+	// Standing tells what a decision on the organisation rests on, for the log.
+	Standing(o *registrar.Organisation) Standing
 	// Refund gives back the tokens of an admitted request that has not run.
 	Refund(o *registrar.Organisation, tokens float64)
 }
 
+// Standing is what an entry believes of an organisation's limit.
+type Standing struct {
+	// Level is the number of tokens left.
+	Level float64
+	// Sharing of all Entries hear of one another's admissions.
+	Sharing, Entries int
+}
+
 // Observer counts for metrics.
 type Observer interface {
 	Request(organisation, outcome string)
@@ -255,6 +265,11 @@
 func (x *exchange) serve() {
 	if x.organisation != nil && x.organisation.Rate > 0 {
 		if ok, after := x.f.config.Admitter.Admit(x.organisation, x.tokens()); !ok {
+			standing := x.f.config.Admitter.Standing(x.organisation)
+			x.f.config.Log.Info().Str("Request", x.call.ID).Str("Organisation", x.organisation.Name).Float64("Tokens", x.tokens()).
+				Float64("Level", standing.Level).Float64("Rate", x.organisation.Rate).Float64("Burst", x.organisation.Burst).
+				Int("Sharing", standing.Sharing).Int("Entries", standing.Entries).Dur("EnoughAfter", after).
+				Msg("forwarder: over the limit")
 			x.refuse(refuseLimit(after))
 			return
 		}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -68,6 +68,8 @@
 	return !a.refuses, time.Second
 }
 
+func (a *admitter) Standing(*registrar.Organisation) forwarder.Standing { return forwarder.Standing{} }
+
 func (a *admitter) Refund(*registrar.Organisation, float64) {}
 
 type observer struct{}
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"geraniumladder/internal/forwarder"
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
 	"geraniumladder/pkg/limiter"
@@ -141,6 +142,13 @@
 	return admitted, after
 }
 
+// Standing tells what a decision on the organisation rests on.
+func (s *Sharer) Standing(o *registrar.Organisation) forwarder.Standing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return forwarder.Standing{Level: s.tallies[o.Name].Level(s.elapsed()), Sharing: s.group, Entries: s.members}
+}
+
 // Refund gives tokens back of a request that has not run.
 func (s *Sharer) Refund(o *registrar.Organisation, tokens float64) {
 	s.mu.Lock()
