--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -107,6 +107,8 @@
 	MayLoad func(ctx context.Context) (bool, error)
 	// Fence returns a fencing number that is higher than all before.
 	Fence func(ctx context.Context) (int64, error)
+	// Observe counts a load of an adapter, with the result ok or failed and the time from the order.
+	Observe func(result string, took time.Duration)
 	// Tell sends the engine's state to entries.
 	Tell func(s wire.EngineState, to []string)
 	Now  func() time.Time
@@ -153,6 +155,8 @@
 	// The fields below are used by Run alone.
 	fence    int64
 	failures int
+	// ordered holds the loads under way, with the times of their orders.
+	ordered  map[Adapter]time.Time
 	told     wire.EngineState
 	toldAt   time.Time
 	// toldTo is the number of entries told last, adaptersAt when they were told the adapters.
@@ -175,6 +179,7 @@
 	return &Orderer{
 		config: c, wake: make(chan struct{}, 1), entries: map[string]entryDemand{},
 		recent: map[string]map[Adapter]int{}, weights: map[Adapter]weight{}, waiting: map[Adapter]time.Time{},
+		ordered: map[Adapter]time.Time{},
 	}
 }
 
@@ -310,6 +315,7 @@
 		o.config.Log.Info().Int64("Born", report.Born).Msg("orderer: engine regained")
 	}
 	o.failures = 0
+	o.observe(report)
 	ordered := o.order(ctx, report, demands)
 	if ordered {
 		if after, err := o.report(ctx); err == nil {
@@ -389,9 +395,33 @@
 		o.endpointID, o.rejectedID = "", id
 		o.mu.Unlock()
 		return false
-	case Accepted, Conflict:
+	case Accepted:
+		if step.IsLoad {
+			o.ordered[step.Adapter] = o.config.Now()
+		}
+		return true
+	case Conflict:
+	}
+	return false
+}
+
+// observe counts the loads that have ended since the last report.
+func (o *Orderer) observe(r Report) {
+	for a, at := range o.ordered {
+		_, isResident := r.Resident[a]
+		_, isLoading := r.Loading[a]
+		_, isModel := r.Models[a.Model]
+		switch {
+		case isLoading || a.Name == "" && !isModel:
+		case isResident || a.Name == "":
+			o.config.Observe("ok", o.config.Now().Sub(at))
+			delete(o.ordered, a)
+		default:
+			o.config.Observe("failed", o.config.Now().Sub(at))
+			o.config.Log.Warn().Str("Adapter", a.Model+"/"+a.Name).Dur("After", o.config.Now().Sub(at)).Msg("orderer: load failed")
+			delete(o.ordered, a)
+		}
 	}
-	return result == Accepted
 }
 
 // mayLoad says whether the step may begin now. Only loads of models from the weight store are bounded.
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -247,12 +247,16 @@
 	})
 }
 
-type told struct{ states []wire.EngineState }
+type told struct {
+	states []wire.EngineState
+	loads  []string
+}
 
 func newOrderer(e *engine, out *told, fence func(context.Context) (int64, error)) *orderer.Orderer {
 	return orderer.New(orderer.Config{
 		VM: "vm", Address: "10.0.0.1:1", Engine: e, Capacity: func() *orderer.Capacity { return &capacity },
 		MayLoad: func(context.Context) (bool, error) { return true, nil }, Fence: fence,
+		Observe: func(result string, _ time.Duration) { out.loads = append(out.loads, result) },
 		Tell: func(s wire.EngineState, _ []string) { out.states = append(out.states, s) },
 		Now:  time.Now, Log: zerolog.Nop(),
 	})
@@ -290,6 +294,11 @@
 		synctest.Wait()
 		assert.Equal(t, e.orders, 1)
 		assert.Equal(t, e.fence, int64(42))
+		assert.Equal(t, len(out.loads), 0)
+		e.loaded()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, out.loads, []string{"ok"})
 		cancel()
 		<-end
 	})
--- a/internal/resident/sidecar.go
+++ b/internal/resident/sidecar.go
@@ -83,7 +83,7 @@
 	})
 	s.orderer = orderer.New(orderer.Config{
 		VM: c.VM, Address: c.EngineAddress, Engine: c.Engine, Capacity: s.capacity.Load,
-		MayLoad: s.mayLoad, Fence: c.Fence, Tell: s.tell, Now: time.Now, Log: c.Log,
+		MayLoad: s.mayLoad, Fence: c.Fence, Observe: instruments.Load, Tell: s.tell, Now: time.Now, Log: c.Log,
 	})
 	gossiper.Handle(g, kindEntryDemand, func(d wire.EntryDemand) (string, gossiper.Stamp) {
 		return d.VM, gossiper.Stamp{Boot: d.Boot, Sequence: d.Sequence}
