Split the relaying of streams into steps; take the fencing number at the start and bound its calls

The linter found the constant for the pause between attempts unused: while the store was away each step of a sidecar called it and was held up for as long as the call lasted.

--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -35,6 +35,11 @@
 	return l.Addr().String()
 }
 
+// reply writes to a connection. A failure shows in the test at the other end.
+func reply(c net.Conn, format string, args ...any) {
+	_, _ = fmt.Fprintf(c, format, args...)
+}
+
 // answers serves requests with the header.
 func answers(header string) func(net.Conn, int) {
 	return func(c net.Conn, n int) {
@@ -48,7 +53,7 @@
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
 			}
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 1\r\n\r\n%d", header, n)
+			reply(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 1\r\n\r\n%d", header, n)
 		}
 	}
 }
@@ -102,10 +107,10 @@
 		if _, err := http.ReadRequest(reader); err != nil {
 			return
 		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		reply(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
 		if n == 1 {
 			<-sent
-			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+			reply(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 			sent <- struct{}{}
 		}
 	})
@@ -129,7 +134,7 @@
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		reply(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
 		_ = c.Close()
 		if n == 1 {
 			close(closed)
@@ -175,7 +180,7 @@
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n%d", n)
+		reply(c, "HTTP/1.1 200 OK\r\n\r\n%d", n)
 		_ = c.Close()
 	})
 	assert.Equal(t, exchange(t, p, address, time.Minute), "1")
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -205,6 +205,7 @@
 		}
 		return x.lost(ctx, e, "send", err)
 	}
+	//nolint:bodyclose // The connection is closed or kept as a whole. Closing the body would read the rest of a stream.
 	response, answer, err := x.readAnswer(conn)
 	if err != nil {
 		return x.lost(ctx, e, "answer", err)
@@ -218,7 +219,11 @@
 	}
 	x.mayHaveRun = true
 	if x.route.Kind == registrar.Stream && response.StatusCode == http.StatusOK {
-		return x.relay(ctx, e, conn, response, &keep, stop, read)
+		release := func() bool {
+			keep = stop()
+			return keep
+		}
+		return x.relay(ctx, e, conn, response, release, read)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, wholeMost+1))
 	if err != nil || len(body) > wholeMost {
@@ -316,65 +321,92 @@
 	}
 }
 
-// relay passes a stream on, whole events only, so that it can go on at another endpoint after any of them.
-func (x *exchange) relay(ctx context.Context, e *endpoint, conn *connector.Conn, response *http.Response, keep *bool, stop func() bool, read func()) (*Refusal, bool) {
-	buffer := make([]byte, 0, streamBuffer)
-	flusher := http.NewResponseController(x.w)
-	first := true
+// relayer passes one endpoint's part of a stream on, whole events only, so that it can go on at another endpoint after
+// any of them.
+type relayer struct {
+	x        *exchange
+	e        *endpoint
+	response *http.Response
+	flusher  *http.ResponseController
+	// buffer holds what has arrived and is not a whole event yet.
+	buffer []byte
+	// read is called with the first event: the engine has read the prompt.
+	read func()
+}
+
+// relay passes the stream on until it ends or breaks off.
+func (x *exchange) relay(ctx context.Context, e *endpoint, conn *connector.Conn, response *http.Response, release func() bool, read func()) (*Refusal, bool) {
+	r := &relayer{
+		x: x, e: e, response: response, flusher: http.NewResponseController(x.w), buffer: make([]byte, 0, streamBuffer), read: read,
+	}
 	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, make([]byte, cap(buffer))...)[:len(buffer)]
-		}
-		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if end := eventsEnd(buffer); end > 0 {
-			if first {
-				first = false
-				if x.firstAfter == 0 {
-					x.firstAfter = x.f.config.Now().Sub(x.arrived)
-				}
-				read()
-				x.outcome(e, false, false)
-			}
-			if id, ok := lastEventID(buffer[:end]); ok {
-				x.lastEvent = id
-			}
-			if x.begin(response) != nil || x.write(flusher, buffer[:end]) != nil {
-				x.note("caller-left", response.StatusCode)
-				panic(http.ErrAbortHandler)
-			}
-			buffer = append(buffer[:0], buffer[end:]...)
-		}
+		err := r.next()
 		switch {
-		case err == io.EOF && len(buffer) == 0:
-			if *keep = stop(); *keep {
+		case errors.Is(err, io.EOF) && len(r.buffer) == 0:
+			if release() {
 				conn.Release(response)
 			}
-			if x.begin(response) != nil {
-				panic(http.ErrAbortHandler)
-			}
+			x.begin(response)
 			x.f.config.Observer.Request(x.organisationName(), "answered")
 			x.note("answered", response.StatusCode)
 			return nil, true
+		case errors.Is(err, io.EOF):
+			return x.lost(ctx, e, "stream", io.ErrUnexpectedEOF)
+		case errors.Is(err, errCallerLeft):
+			x.note("caller-left", response.StatusCode)
+			panic(http.ErrAbortHandler)
 		case err != nil:
-			if err == io.EOF {
-				err = io.ErrUnexpectedEOF
-			}
 			return x.lost(ctx, e, "stream", err)
 		}
 	}
 }
 
+var errCallerLeft = errors.New("the caller left")
+
+// next reads once and passes on the events that are whole.
+func (r *relayer) next() error {
+	if len(r.buffer) == cap(r.buffer) {
+		r.buffer = append(r.buffer, make([]byte, cap(r.buffer))...)[:len(r.buffer)]
+	}
+	n, err := r.response.Body.Read(r.buffer[len(r.buffer):cap(r.buffer)])
+	r.buffer = r.buffer[:len(r.buffer)+n]
+	if end := eventsEnd(r.buffer); end > 0 {
+		if failure := r.pass(r.buffer[:end]); failure != nil {
+			return failure
+		}
+		r.buffer = append(r.buffer[:0], r.buffer[end:]...)
+	}
+	return err
+}
+
+func (r *relayer) pass(events []byte) error {
+	if r.read != nil {
+		r.read()
+		r.read = nil
+		r.x.outcome(r.e, false, false)
+		if r.x.firstAfter == 0 {
+			r.x.firstAfter = r.x.f.config.Now().Sub(r.x.arrived)
+		}
+	}
+	if id, ok := lastEventID(events); ok {
+		r.x.lastEvent = id
+	}
+	r.x.begin(r.response)
+	if err := r.x.write(r.flusher, events); err != nil {
+		return errors.Mark(err, errCallerLeft)
+	}
+	return nil
+}
+
 // begin sends the head of the stream's answer once.
-func (x *exchange) begin(response *http.Response) error {
+func (x *exchange) begin(response *http.Response) {
 	if x.begun {
-		return nil
+		return
 	}
 	x.begun = true
 	copyHeader(x.w.Header(), response.Header)
 	x.w.WriteHeader(response.StatusCode)
 	x.f.config.Observer.FirstToken(x.organisationName(), x.f.config.Now().Sub(x.arrived))
-	return nil
 }
 
 func (x *exchange) write(flusher *http.ResponseController, events []byte) error {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -174,7 +174,6 @@
 	admitted float64
 	// kept is a failure that an endpoint answered with, to be passed on when nothing better follows.
 	kept *whole
-	log  zerolog.Logger
 }
 
 // placement is what the last choice of an endpoint rested on.
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -42,8 +42,10 @@
 	orderTimeout = 80 * time.Millisecond
 	// downAfter is the number of reports in a row without an answer after which the engine counts as down.
 	downAfter = 2
-	// fencePause is the time between two attempts to get a fencing number.
-	fencePause = 300 * time.Millisecond
+	// fencePause is the time between two attempts to get a fencing number, and fenceTimeout bounds one, because the
+	// entries hear nothing meanwhile.
+	fencePause   = 500 * time.Millisecond
+	fenceTimeout = 250 * time.Millisecond
 	// unreadStep is the growth of an entry's unread tokens that the other entries hear of at once; a short prompt.
 	unreadStep = 500
 )
@@ -154,11 +156,12 @@
 
 	// The fields below are used by Run alone.
 	fence    int64
+	fenceAt  time.Time
 	failures int
 	// ordered holds the loads under way, with the times of their orders.
-	ordered  map[Adapter]time.Time
-	told     wire.EngineState
-	toldAt   time.Time
+	ordered map[Adapter]time.Time
+	told    wire.EngineState
+	toldAt  time.Time
 	// toldTo is the number of entries told last, adaptersAt when they were told the adapters.
 	toldTo     int
 	adaptersAt time.Time
@@ -315,6 +318,8 @@
 		o.config.Log.Info().Int64("Born", report.Born).Msg("orderer: engine regained")
 	}
 	o.failures = 0
+	// The number is taken before the first order needs it.
+	o.hasFence(ctx)
 	o.observe(report)
 	ordered := o.order(ctx, report, demands)
 	if ordered {
@@ -446,7 +451,13 @@
 	if o.fence > 0 {
 		return true
 	}
-	fence, err := o.config.Fence(ctx)
+	if o.config.Now().Sub(o.fenceAt) < fencePause {
+		return false
+	}
+	o.fenceAt = o.config.Now()
+	callCtx, cancel := context.WithTimeout(ctx, fenceTimeout)
+	defer cancel()
+	fence, err := o.config.Fence(callCtx)
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
 			o.config.Log.Warn().Err(err).Msg("orderer: no fencing number, no orders until the store answers")
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -257,8 +257,8 @@
 		VM: "vm", Address: "10.0.0.1:1", Engine: e, Capacity: func() *orderer.Capacity { return &capacity },
 		MayLoad: func(context.Context) (bool, error) { return true, nil }, Fence: fence,
 		Observe: func(result string, _ time.Duration) { out.loads = append(out.loads, result) },
-		Tell: func(s wire.EngineState, _ []string) { out.states = append(out.states, s) },
-		Now:  time.Now, Log: zerolog.Nop(),
+		Tell:    func(s wire.EngineState, _ []string) { out.states = append(out.states, s) },
+		Now:     time.Now, Log: zerolog.Nop(),
 	})
 }
 
@@ -300,7 +300,7 @@
 		synctest.Wait()
 		assert.DeepEqual(t, out.loads, []string{"ok"})
 		cancel()
-		<-end
+		assert.ErrorIs(t, <-end, context.Canceled)
 	})
 }
 
@@ -324,7 +324,7 @@
 		synctest.Wait()
 		assert.Assert(t, out.states[len(out.states)-1].IsDown)
 		cancel()
-		<-end
+		assert.ErrorIs(t, <-end, context.Canceled)
 	})
 }
 
@@ -340,7 +340,7 @@
 		time.Sleep(time.Second)
 		synctest.Wait()
 		cancel()
-		<-end
+		assert.ErrorIs(t, <-end, context.Canceled)
 		content, err := json.Marshal(out.states[0])
 		assert.NilError(t, err)
 		assert.Assert(t, json.Valid(content))
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -109,7 +109,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	end := make(chan error)
 	go func() { end <- f.Run(ctx) }()
-	return followed{Follower: f, stop: func() { cancel(); <-end }}
+	return followed{Follower: f, stop: func() {
+		cancel()
+		assert.Check(t, errors.Is(<-end, context.Canceled))
+	}}
 }
 
 func (f followed) has(key string) bool {
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -280,7 +280,7 @@
 	if err != nil {
 		return registrar.Rows{}, errors.Wrap(err, "ask a peer for a table")
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	var copied wire.TableCopy
 	if err := json.NewDecoder(response.Body).Decode(&copied); err != nil {
 		return registrar.Rows{}, errors.Wrap(err, "decode a peer's table")
