--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -131,10 +131,10 @@
 		f.mu.Lock()
 		changed := e.changed
 		there := e.residency(x.call.Model, version) == selector.Resident
-		lost := e.IsLeaving || e.state.IsDown || f.byRun[run{id: e.ID, born: e.Born}] != e
+		lost := e.state.IsDown || f.isGone(e)
 		f.mu.Unlock()
 		if there || lost {
-			return there, lost
+			return there && !lost, lost
 		}
 		select {
 		case <-changed:
@@ -158,6 +158,10 @@
 		version = f.version(x.call.Model)
 	}
 	f.mu.Lock()
+	if f.isGone(e) {
+		f.mu.Unlock()
+		return nil, false
+	}
 	unread := 0.0
 	if e.engine != nil {
 		unread = max(0, x.call.PromptTokens-e.keptTokens(&x.call))
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -266,6 +266,11 @@
 	return c
 }
 
+// isGone says whether the endpoint leaves or is no longer listed, so that it gets nothing new.
+func (f *fleet) isGone(e *endpoint) bool {
+	return e.IsLeaving || f.byRun[run{id: e.ID, born: e.Born}] != e
+}
+
 // misdirected notes that the address belongs to another endpoint by now, or that the engine lacks the adapter or its version.
 func (f *fleet) misdirected(e *endpoint, answerer string, key registrar.AdapterKey) {
 	f.mu.Lock()
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -538,6 +538,44 @@
 	assert.Equal(t, got.status, 200)
 }
 
+// TestLeaverGetsNoneThatWaited guards against a request that waited for its adapter at an engine and is sent there
+// although the engine has begun to leave meanwhile.
+func TestLeaverGetsNoneThatWaited(t *testing.T) {
+	leaver, stays := newEndpoint(t, "leaver", ok), newEndpoint(t, "stays", ok)
+	f := newFixture(t, leaver)
+	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
+		Version: 2,
+		Routes: []registrar.Route{{
+			Name: "model", Host: "h", Prefix: "/model/", Kind: registrar.Once, Timeout: 20 * time.Second, Attempts: 1, Open: true,
+			Targets: []registrar.Target{{Service: "s", Weight: 1}},
+		}},
+		Services: []registrar.Service{{Name: "s", Engine: &registrar.Engine{Batch: 4, AdapterSlots: 2}}},
+	}))
+	held := []registrar.HeldModel{{Name: "base", Version: 1, Adapters: []registrar.HeldAdapter{{Name: "a1", Version: 1}}}}
+	first := leaver.registered("s")
+	f.SetEndpoints([]registrar.Endpoint{first})
+	end := make(chan reply)
+	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a1") }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(f.Demands("")[0].Message.Wanted) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the adapter is not wanted yet")
+	}, poll.WithTimeout(20*time.Second))
+	second := stays.registered("s")
+	second.Models = held
+	first.IsLeaving = true
+	f.SetEndpoints([]registrar.Endpoint{first, second})
+	f.SetState(wire.EngineState{
+		Address:  first.Address,
+		Adapters: &wire.EngineAdapters{Resident: []wire.AdapterName{{Model: "base", Version: 1}, {Model: "base", Adapter: "a1", Version: 1}}},
+	})
+	got := <-end
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, leaver.count(), 0)
+	assert.Equal(t, stays.count(), 1)
+}
+
 // TestLeavingEntrySaysSo guards against callers that keep connections to an entry that stops.
 func TestLeavingEntrySaysSo(t *testing.T) {
 	f := newFixture(t, newEndpoint(t, "e", ok))
--- a/internal/registrar/follower.go
+++ b/internal/registrar/follower.go
@@ -77,12 +77,13 @@
 type Follower struct {
 	config FollowerConfig
 
-	mu      sync.Mutex
-	table   Table
-	lapsed  map[string]time.Time
-	lastOK  time.Time
-	away    bool
-	failure string
+	mu     sync.Mutex
+	table  Table
+	lapsed map[string]time.Time
+	lastOK time.Time
+	away   bool
+	// failedSince is when the first of the failures in a row came back; zero after an answer.
+	failedSince time.Time
 }
 
 // NewFollower returns a Follower that has read nothing.
@@ -144,7 +145,9 @@
 func (f *Follower) failed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.failure = err.Error()
+	if f.failedSince.IsZero() {
+		f.failedSince = f.config.Now()
+	}
 	if !f.away && f.config.Now().Sub(f.lastOK) > outageAfter {
 		f.away = true
 		f.config.Log.Warn().Str("Table", f.config.Table).Int64("Version", f.table.Version).
@@ -160,7 +163,7 @@
 		f.config.Log.Info().Str("Table", f.config.Table).Int64("Version", f.table.Version).
 			Dur("SinceAnswer", now.Sub(f.lastOK)).Msg("registrar: store regained")
 	}
-	f.away, f.lastOK = false, now
+	f.away, f.lastOK, f.failedSince = false, now, time.Time{}
 	return wasAway
 }
 
@@ -181,7 +184,8 @@
 		next[row.Key] = row
 		delete(f.lapsed, row.Key)
 	}
-	if f.config.KeepsLapsed && current > 0 && (wasAway || !fromStore) {
+	// A peer's copy is from a store that answers, so what it lacks is gone.
+	if f.config.KeepsLapsed && current > 0 && wasAway {
 		for key, row := range f.table.Rows {
 			if _, ok := next[key]; !ok {
 				next[key] = row
@@ -264,11 +268,14 @@
 	return t
 }
 
-// SinceAnswer is the time since the store last answered.
-func (f *Follower) SinceAnswer() time.Duration {
+// Failing is how long reads have failed in a row; 0 when the last one succeeded.
+func (f *Follower) Failing() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.config.Now().Sub(f.lastOK)
+	if f.failedSince.IsZero() {
+		return 0
+	}
+	return f.config.Now().Sub(f.failedSince)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -175,6 +175,24 @@
 	})
 }
 
+// TestPeersKnowWhoIsGone guards against requests for an endpoint that left while the store turned only this entry away:
+// a peer's copy without it is no outage in which it might have lapsed.
+func TestPeersKnowWhoIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("left", "1")
+		f := follow(t, s, true)
+		time.Sleep(time.Second)
+		assert.Equal(t, f.Failing(), time.Duration(0))
+		s.set(func() { s.isAway = true })
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, f.Failing() > time.Second)
+		assert.Assert(t, f.Merge(registrar.Rows{Version: 9}))
+		assert.Assert(t, !f.has("left"))
+		f.stop()
+	})
+}
+
 // TestMergeOnlyForward guards against an older copy from a peer that replaces a newer one.
 func TestMergeOnlyForward(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -50,7 +50,7 @@
 	operatorsWait = 2 * time.Second
 	// endpointsPauses is the number of reads of the endpoints' table, in which something changes all the time, while a
 	// leaving endpoint may still get requests.
-	endpointsPauses = 2.5
+	endpointsPauses = 4
 	// demandEvery is the time between two messages to a sidecar.
 	demandEvery = 600 * time.Millisecond
 	// changedEvery is the time between two looks for sidecars that should hear of new requests.
@@ -247,7 +247,7 @@
 func (e *Entry) copyTables(ctx context.Context) {
 	for _, f := range []*registrar.Follower{e.operators, e.endpoints} {
 		table := f.Table()
-		if table.Version > 0 && f.SinceAnswer() < storeSilence {
+		if table.Version > 0 && f.Failing() < storeSilence {
 			continue
 		}
 		for _, address := range e.sharer.Newer(f.Name(), table.Version) {
@@ -265,9 +265,9 @@
 	}
 }
 
-// storeSilence is the time without an answer of the store after which peers are asked. A
-// process that has just started asks at once.
-const storeSilence = 1500*time.Millisecond + operatorsWait
+// storeSilence is how long reads must have failed before peers are asked: longer than one that was turned away by
+// chance, short against the time in which a change must be known. A process that has just started asks at once.
+const storeSilence = 200 * time.Millisecond
 
 var copyClient = &http.Client{Timeout: copyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
