--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -589,3 +589,65 @@
 	assert.NilError(t, response.Body.Close())
 	assert.Assert(t, response.Close)
 }
+
+// BenchmarkStreamedEvent measures what one event of a stream costs from an endpoint through the entry to a caller, all
+// three on one machine.
+func BenchmarkStreamedEvent(b *testing.B) {
+	const text = "id: 1234\ndata: 012345678901234567890123456789\n\n"
+	chunk := []byte(fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer func() { _ = l.Close() }()
+	next := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		streamHead(c, r)
+		for range next {
+			if _, err := c.Write(chunk); err != nil {
+				return
+			}
+		}
+		_, _ = c.Write([]byte("0\r\n\r\n"))
+	}()
+	f := forwarder.New(forwarder.Config{
+		Translator: translator{}, Pool: connector.New(connector.Config{}), Admitter: &admitter{}, Observer: observer{},
+		Demand: func(string) {}, Entries: func() int { return 1 }, Now: time.Now, Seed: 1, Log: zerolog.Nop(),
+	})
+	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
+		Version: 1,
+		Routes: []registrar.Route{{
+			Name: "stream", Host: "h", Prefix: "/", Kind: registrar.Stream, Timeout: time.Hour, Attempts: 1, Open: true,
+			Targets: []registrar.Target{{Service: "s", Weight: 1}},
+		}},
+		Services: []registrar.Service{{Name: "s"}},
+	}))
+	f.SetEndpoints([]registrar.Endpoint{{ID: "e", Service: "s", Address: l.Addr().String()}})
+	server := httptest.NewServer(f)
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(b, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(b, err)
+	next <- struct{}{}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(b, err)
+	buffer := make([]byte, len(text))
+	_, err = io.ReadFull(response.Body, buffer)
+	assert.NilError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		next <- struct{}{}
+		if _, err := io.ReadFull(response.Body, buffer); err != nil {
+			b.Fatal(err)
+		}
+	}
+	close(next)
+}
