--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -28,6 +28,8 @@
 	bodyDefault = 4 << 20
 	// leastRemaining is the time below which a request isn't sent, because no endpoint answers so fast.
 	leastRemaining = 10 * time.Millisecond
+	// leastConstant stands for none, because the retrier takes 0 for its default.
+	leastConstant = 1e-9
 	// returnShare is the part of the time a caller has left that it waits at most before it comes back.
 	returnShare = 3
 )
@@ -68,7 +70,7 @@
 	Observer   Observer
 	// Demand is called when an adapter is wanted at an endpoint, so that its sidecar is told at once.
 	Demand func(address string)
-	// Retry gives the budget of repeats for each service. Its Constant is divided among the entries.
+	// Retry gives the budget of repeats for each service. Its Constant is divided among the entries, its Window positive.
 	Retry retrier.Config
 	// Entries returns the number of entries, at least 1.
 	Entries  func() int
@@ -95,7 +97,6 @@
 // budget is the repeats of one service.
 type budget struct {
 	retrier retrier.Retrier
-	entries int
 }
 
 // New returns a Forwarder without a configuration.
@@ -373,19 +374,18 @@
 	return ok
 }
 
-// budget returns the budget of the service, with a share of the constant that fits the number of entries.
+// budget returns the budget of the service. Its constant is divided among the entries and grows over the first window
+// of this process: what an earlier process on the VM repeated still counts, and the other entries aren't known yet.
 func (f *Forwarder) budget(service string) *budget {
-	entries := max(1, f.config.Entries())
+	c := f.config.Retry
+	grown := min(1, float64(f.config.Now().Sub(f.start))/float64(c.Window))
+	c.Constant = max(leastConstant, c.Constant*grown/float64(max(1, f.config.Entries())))
 	b := f.budgets[service]
-	if b == nil || b.entries != entries {
-		c := f.config.Retry
-		c.Constant /= float64(entries)
-		if b == nil {
-			b = &budget{retrier: retrier.New(c)}
-			f.budgets[service] = b
-		}
-		b.retrier, b.entries = b.retrier.WithConfig(c), entries
+	if b == nil {
+		b = &budget{retrier: retrier.New(c)}
+		f.budgets[service] = b
 	}
+	b.retrier = b.retrier.WithConfig(c)
 	return b
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,14 +166,25 @@
 	admitter *admitter
 }
 
+// longRunning is the clock of a process that started an hour before its second look at it.
+func longRunning() func() time.Time {
+	var isStarted atomic.Bool
+	return func() time.Time {
+		if isStarted.Swap(true) {
+			return time.Now()
+		}
+		return time.Now().Add(-time.Hour)
+	}
+}
+
 // newFixture serves routes of each kind to the endpoints of one service.
 func newFixture(t *testing.T, endpoints ...*endpoint) *fixture {
 	t.Helper()
 	a := &admitter{}
 	f := forwarder.New(forwarder.Config{
 		VM: "entry", Translator: translator{}, Pool: connector.New(connector.Config{}), Admitter: a, Observer: observer{},
-		Demand: func(string) {}, Retry: retrier.Config{Ratio: 0.2, Constant: 5}, Entries: func() int { return 1 },
-		Now: time.Now, Seed: 1, Log: zerolog.Nop(),
+		Demand: func(string) {}, Retry: retrier.Config{Ratio: 0.2, Constant: 5, Window: 10 * time.Second}, Entries: func() int { return 1 },
+		Now: longRunning(), Seed: 1, Log: zerolog.Nop(),
 	})
 	targets := []registrar.Target{{Service: "s", Weight: 1}}
 	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
@@ -366,6 +378,36 @@
 	assert.Assert(t, repeats <= 0.2*requests+5, "%d repeats", repeats)
 }
 
+// TestRestartedEntriesKeepTheBudget guards against entries that restart together and, not knowing of one another yet,
+// each spend the whole fleet's constant in a window in which their earlier processes have spent theirs.
+func TestRestartedEntriesKeepTheBudget(t *testing.T) {
+	fails := func(c net.Conn, r *http.Request, _ int) bool { return respond(c, r, 500, "", "error") }
+	a, b := newEndpoint(t, "a", fails), newEndpoint(t, "b", fails)
+	const entries, requests, constant = 10, 5, 60
+	for range entries {
+		now := time.Now()
+		fresh := forwarder.New(forwarder.Config{
+			Translator: translator{}, Pool: connector.New(connector.Config{}), Admitter: &admitter{}, Observer: observer{},
+			Demand: func(string) {}, Retry: retrier.Config{Ratio: 0.2, Constant: constant, Window: 10 * time.Second},
+			Entries: func() int { return 1 }, Now: func() time.Time { return now }, Seed: 1, Log: zerolog.Nop(),
+		})
+		fresh.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
+			Version: 1, Services: []registrar.Service{{Name: "s"}},
+			Routes: []registrar.Route{{
+				Name: "again", Host: "h", Prefix: "/", Kind: registrar.Repeatable, Timeout: 5 * time.Second, Attempts: 2, Open: true,
+				Targets: []registrar.Target{{Service: "s", Weight: 1}},
+			}},
+		}))
+		fresh.SetEndpoints([]registrar.Endpoint{a.registered("s"), b.registered("s")})
+		for range requests {
+			r := httptest.NewRequest(http.MethodGet, "http://h/", nil)
+			fresh.ServeHTTP(httptest.NewRecorder(), r)
+		}
+	}
+	repeats := a.count() + b.count() - entries*requests
+	assert.Assert(t, repeats <= 0.2*entries*requests, "%d repeats", repeats)
+}
+
 // TestStrayAnswersArePassedOver guards against a caller that gets the answer to another request.
 func TestStrayAnswersArePassedOver(t *testing.T) {
 	e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, n int) bool {
