--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -60,16 +60,13 @@
 func (x *exchange) place(ctx context.Context) (*endpoint, *Refusal) {
 	w := &want{
 		service: x.service, call: &x.call, avoid: x.avoid,
-		request: selector.Request{
-			PromptTokens: x.call.PromptTokens, NeedsTokens: x.call.PromptTokens + x.call.AnswerTokens,
-			Objective: x.route.Objective,
-		},
+		request: selector.Request{PromptTokens: x.call.PromptTokens, NeedsTokens: x.call.PromptTokens + x.call.AnswerTokens},
 	}
 	if len(x.sent) >= x.route.Attempts {
 		w.only = x.sent
 	}
 	for {
-		if ctx.Err() != nil || time.Until(x.deadline) < leastRemaining {
+		if ctx.Err() != nil || x.deadline.Sub(x.f.config.Now()) < leastRemaining {
 			return nil, refuseFull("timeout-waiting", 0)
 		}
 		if x.call.Model.Adapter != "" {
@@ -198,15 +195,16 @@
 	defer stop()
 
 	x.tries++
-	x.sent[key] = true
 	request := &connector.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		Header: x.f.config.Translator.EndpointHeader(x.r.Header, x.dispatch(e, version)),
 	}
-	if err := conn.Send(request); err != nil {
-		if errors.Is(err, connector.ErrNotSent) {
-			return x.failed(ctx, e, "send", err, true)
-		}
+	err = conn.Send(request)
+	if errors.Is(err, connector.ErrNotSent) {
+		return x.failed(ctx, e, "send", err, true)
+	}
+	x.sent[key] = true
+	if err != nil {
 		return x.lost(ctx, e, "send", err)
 	}
 	//nolint:bodyclose // The connection is closed or kept as a whole. Closing the body would read the rest of a stream.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,8 +30,6 @@
 	leastRemaining = 10 * time.Millisecond
 	// leastConstant stands for none, because the retrier takes 0 for its default.
 	leastConstant = 1e-9
-	// returnShare is the part of the time a caller has left that it waits at most before it comes back.
-	returnShare = 3
 )
 
 // Admitter holds organisations to their limits.
@@ -320,10 +318,6 @@
 
 // refuse answers for the entry itself.
 func (x *exchange) refuse(refusal *Refusal) {
-	if refusal.RetryAfter > 0 && !x.deadline.IsZero() {
-		// A caller that is told to come back later than it waits at all would not come back.
-		refusal.RetryAfter = min(refusal.RetryAfter, x.deadline.Sub(x.f.config.Now())/(returnShare+1))
-	}
 	refusal.write(x.w, x.f.config.Translator.RequestIDHeader(), x.call.ID)
 	x.f.config.Observer.Refusal(x.organisationName(), refusal.Reason)
 	x.note(refusal.Reason, refusal.Status)
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -59,9 +59,12 @@
 	}
 }
 
+// longestReturn bounds the advice to come back; after a minute the limit may be another one.
+const longestReturn = time.Minute
+
 func refuseLimit(after time.Duration) *Refusal {
 	return &Refusal{
-		Status: http.StatusTooManyRequests, Reason: "limit", RetryAfter: after,
+		Status: http.StatusTooManyRequests, Reason: "limit", RetryAfter: min(after, longestReturn),
 		Message: "the organisation is over its limit; try again later",
 	}
 }
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -70,8 +70,6 @@
 	PromptTokens float64
 	// NeedsTokens is the memory for prompt and answer.
 	NeedsTokens float64
-	// Objective is the time within which the first event, or the answer, earns its full worth.
-	Objective time.Duration
 }
 
 // Config holds the costs by which endpoints are compared. A field that is 0 has its default.
--- a/pkg/selector/selector_test.go
+++ b/pkg/selector/selector_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -24,7 +23,7 @@
 	return selector.Candidate{ID: id, Batch: 64, FreeTokens: 1e6, Residency: selector.Resident, HasRoom: true}
 }
 
-var prompt = selector.Request{PromptTokens: 9000, NeedsTokens: 9100, Objective: time.Second}
+var prompt = selector.Request{PromptTokens: 9000, NeedsTokens: 9100}
 
 // TestResidentGoesBeforeLoad guards against loads of an adapter that an idle engine holds.
 func TestResidentGoesBeforeLoad(t *testing.T) {
