--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +30,7 @@
 // engine is a small model engine: it crashes when it is ordered to hold too much, checks fences, lets an unload wait for
 // its runs, and may lose answers and carry orders out late.
 type engine struct {
+	mu                sync.Mutex
 	models            map[string]int64
 	resident, loading map[orderer.Adapter]int64
 	sequence, fence   int64
@@ -49,6 +52,8 @@
 }
 
 func (e *engine) Report(context.Context) (orderer.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.isDown {
 		return orderer.Report{}, errors.New("no answer")
 	}
@@ -66,6 +71,8 @@
 }
 
 func (e *engine) Order(_ context.Context, o orderer.Order) (orderer.Result, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.isDown {
 		return 0, errors.New("no answer")
 	}
@@ -248,16 +255,31 @@
 }
 
 type told struct {
+	mu     sync.Mutex
 	states []wire.EngineState
 	loads  []string
 }
 
+// read runs f while nothing is told.
+func (o *told) read(f func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f()
+}
+
+// set changes the engine.
+func (e *engine) set(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+}
+
 func newOrderer(e *engine, out *told, fence func(context.Context) (int64, error)) *orderer.Orderer {
 	return orderer.New(orderer.Config{
 		VM: "vm", Address: "10.0.0.1:1", Engine: e, Capacity: func() *orderer.Capacity { return &capacity },
 		MayLoad: func(context.Context) (bool, error) { return true, nil }, Fence: fence,
-		Observe: func(result string, _ time.Duration) { out.loads = append(out.loads, result) },
-		Tell:    func(s wire.EngineState, _ []string) { out.states = append(out.states, s) },
+		Observe: func(result string, _ time.Duration) { out.read(func() { out.loads = append(out.loads, result) }) },
+		Tell:    func(s wire.EngineState, _ []string) { out.read(func() { out.states = append(out.states, s) }) },
 		Now:     time.Now, Log: zerolog.Nop(),
 	})
 }
@@ -274,9 +296,9 @@
 func TestNoOrdersWithoutFence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e, out := newEngine("base"), &told{}
-		isAway := true
+		var isBack atomic.Bool
 		o := newOrderer(e, out, func(context.Context) (int64, error) {
-			if isAway {
+			if !isBack.Load() {
 				return 0, errors.New("the store is away")
 			}
 			return 42, nil
@@ -287,18 +309,20 @@
 		o.SetDemand(demand(1, 0, 1), "entry:1")
 		time.Sleep(time.Second)
 		synctest.Wait()
-		assert.Equal(t, e.orders, 0)
-		isAway = false
+		e.set(func() { assert.Equal(t, e.orders, 0) })
+		isBack.Store(true)
 		o.SetDemand(demand(2, 0, 1), "entry:1")
 		time.Sleep(time.Second)
 		synctest.Wait()
-		assert.Equal(t, e.orders, 1)
-		assert.Equal(t, e.fence, int64(42))
-		assert.Equal(t, len(out.loads), 0)
-		e.loaded()
+		e.set(func() {
+			assert.Equal(t, e.orders, 1)
+			assert.Equal(t, e.fence, int64(42))
+			e.loaded()
+		})
+		out.read(func() { assert.Equal(t, len(out.loads), 0) })
 		time.Sleep(time.Second)
 		synctest.Wait()
-		assert.DeepEqual(t, out.loads, []string{"ok"})
+		out.read(func() { assert.DeepEqual(t, out.loads, []string{"ok"}) })
 		cancel()
 		assert.ErrorIs(t, <-end, context.Canceled)
 	})
@@ -315,14 +339,16 @@
 		o.SetDemand(demand(1, 700), "entry:1")
 		time.Sleep(500 * time.Millisecond)
 		synctest.Wait()
-		last := out.states[len(out.states)-1]
-		assert.Assert(t, !last.IsDown)
-		assert.Equal(t, last.UnreadTokens, int64(700))
-		e.isDown = true
+		out.read(func() {
+			last := out.states[len(out.states)-1]
+			assert.Assert(t, !last.IsDown)
+			assert.Equal(t, last.UnreadTokens, int64(700))
+		})
+		e.set(func() { e.isDown = true })
 		o.SetDemand(demand(2, 700), "entry:1")
 		time.Sleep(500 * time.Millisecond)
 		synctest.Wait()
-		assert.Assert(t, out.states[len(out.states)-1].IsDown)
+		out.read(func() { assert.Assert(t, out.states[len(out.states)-1].IsDown) })
 		cancel()
 		assert.ErrorIs(t, <-end, context.Canceled)
 	})
