--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -115,7 +115,9 @@
 	endpoints *registrar.Follower
 	meter     *meter.Meter
 	leaving   atomic.Bool
-	boot      string
+	// hasEndpoints is set once requests can go to the listed endpoints.
+	hasEndpoints atomic.Bool
+	boot         string
 
 	// mu orders changes of the configuration and of the endpoints, which depend on each other.
 	mu     sync.Mutex
@@ -179,6 +181,7 @@
 	e.logEndpoints(list)
 	e.listed = list
 	e.forwarder.SetEndpoints(list)
+	e.hasEndpoints.Store(true)
 }
 
 // logEndpoints writes a line for each endpoint that came, left or began to leave.
@@ -325,7 +328,7 @@
 }
 
 func (e *Entry) isReady() bool {
-	return !e.leaving.Load() && e.forwarder.Configuration() != nil && e.endpoints.Table().Version > 0
+	return !e.leaving.Load() && e.forwarder.Configuration() != nil && e.hasEndpoints.Load()
 }
 
 // Run serves until ctx ends, and then stops as planned.
