--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,6 +12,7 @@
 
 	"geraniumladder/internal/connector"
 	"geraniumladder/internal/registrar"
+	"geraniumladder/pkg/detector"
 	"geraniumladder/pkg/selector"
 )
 
@@ -48,9 +49,10 @@
 		return refusal, false
 	}
 	if x.tries > 0 {
-		if !x.f.mayRepeat(x.service) {
+		if !x.isRepeatPaid && !x.f.mayRepeat(x.service) {
 			return refuseFull("retry-budget", fullPause), false
 		}
+		x.isRepeatPaid = false
 		x.f.config.Observer.Retry(x.organisationName())
 	}
 	return x.send(ctx, e)
@@ -128,7 +130,7 @@
 		f.mu.Lock()
 		changed := e.changed
 		there := e.residency(x.call.Model, version) == selector.Resident
-		lost := e.state.IsDown || f.isGone(e)
+		lost := e.state.IsDown || e.standing == detector.Silent || f.isGone(e)
 		f.mu.Unlock()
 		if there || lost {
 			return there && !lost, lost
@@ -193,12 +195,22 @@
 	}()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
+	if ctx.Err() != nil {
+		// The caller may have left while the connection was opened.
+		return refuseFull("timeout-waiting", 0), false
+	}
 
 	x.tries++
 	request := &connector.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		Header: x.f.config.Translator.EndpointHeader(x.r.Header, x.dispatch(e, version)),
 	}
+	a := x.attempt(key, conn)
+	f.opened(e, a)
+	defer func() {
+		f.closed(e, a)
+		x.isRepeatPaid = a.isGivenUp.Load()
+	}()
 	err = conn.Send(request)
 	if errors.Is(err, connector.ErrNotSent) {
 		return x.failed(ctx, e, "send", err, true)
@@ -225,7 +237,7 @@
 			keep = stop()
 			return keep
 		}
-		return x.relay(ctx, e, conn, response, release, read)
+		return x.relay(ctx, e, a, response, release, read)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, wholeMost+1))
 	if err != nil || len(body) > wholeMost {
@@ -328,6 +340,7 @@
 type relayer struct {
 	x        *exchange
 	e        *endpoint
+	a        *attempt
 	response *http.Response
 	flusher  *http.ResponseController
 	// buffer holds what has arrived and is not a whole event yet.
@@ -337,16 +350,16 @@
 }
 
 // relay passes the stream on until it ends or breaks off.
-func (x *exchange) relay(ctx context.Context, e *endpoint, conn *connector.Conn, response *http.Response, release func() bool, read func()) (*Refusal, bool) {
+func (x *exchange) relay(ctx context.Context, e *endpoint, a *attempt, response *http.Response, release func() bool, read func()) (*Refusal, bool) {
 	r := &relayer{
-		x: x, e: e, response: response, flusher: http.NewResponseController(x.w), buffer: make([]byte, 0, streamBuffer), read: read,
+		x: x, e: e, a: a, response: response, flusher: http.NewResponseController(x.w), buffer: make([]byte, 0, streamBuffer), read: read,
 	}
 	for {
 		err := r.next()
 		switch {
 		case errors.Is(err, io.EOF) && len(r.buffer) == 0:
 			if release() {
-				conn.Release(response)
+				a.conn.Release(response)
 			}
 			x.begin(response)
 			x.f.config.Observer.Request(x.organisationName(), "answered")
@@ -372,6 +385,7 @@
 	}
 	n, err := r.response.Body.Read(r.buffer[len(r.buffer):cap(r.buffer)])
 	r.buffer = r.buffer[:len(r.buffer)+n]
+	r.a.progressed(r.x.f.config.Now())
 	if end := eventsEnd(r.buffer); end > 0 {
 		if failure := r.pass(r.buffer[:end]); failure != nil {
 			return failure
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -7,6 +7,7 @@
 
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/detector"
 	"geraniumladder/pkg/selector"
 )
 
@@ -42,6 +43,11 @@
 	// state is the sidecar's last report; stateAt is zero without one.
 	state   wire.EngineState
 	stateAt time.Time
+	// beats are the sidecar's reports as signs of life, and standing is what the last watch made of them.
+	beats    detector.Beats
+	standing detector.Standing
+	// attempts are the open ones.
+	attempts map[*attempt]struct{}
 	// resident holds the adapters that the engine is believed to hold, loading those on their way.
 	resident map[registrar.AdapterKey]int64
 	loading  map[registrar.AdapterKey]int64
@@ -85,9 +91,12 @@
 
 // fleet is this entry's view of all endpoints.
 type fleet struct {
-	mu        sync.Mutex
-	domain    string
-	now       func() time.Time
+	mu       sync.Mutex
+	domain   string
+	now      func() time.Time
+	detector detector.Config
+	// watchedAt is the time of the last watch; zero before the first.
+	watchedAt time.Time
 	byRun     map[run]*endpoint
 	byService map[string][]*endpoint
 	byAddress map[string]*endpoint
@@ -96,7 +105,7 @@
 
 func newFleet(domain string, now func() time.Time) *fleet {
 	return &fleet{
-		domain: domain, now: now, byRun: map[run]*endpoint{}, byService: map[string][]*endpoint{},
+		domain: domain, now: now, detector: detector.Config{}.WithDefaults(), byRun: map[run]*endpoint{}, byService: map[string][]*endpoint{},
 		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{},
 	}
 }
@@ -114,6 +123,7 @@
 			e = &endpoint{
 				uses: map[registrar.AdapterKey]*use{}, resident: map[registrar.AdapterKey]int64{},
 				loading: map[registrar.AdapterKey]int64{}, warm: map[registrar.AdapterKey]time.Time{}, kept: map[partKey]time.Time{}, changed: make(chan struct{}),
+				attempts: map[*attempt]struct{}{},
 			}
 		}
 		if e.stateAt.IsZero() || f.now().Sub(e.stateAt) > stateLife {
@@ -181,6 +191,12 @@
 	e.othersUnread = max(0, float64(s.UnreadTokens)-e.toldUnread)
 	e.state, e.stateAt, e.sentSince = s, f.now(), 0
 	e.state.Adapters = nil
+	e.beats = e.beats.WithBeat(e.stateAt, time.Duration(s.NextWithinMilliseconds)*time.Millisecond)
+	e.announce()
+}
+
+// announce wakes those who wait for a change at the endpoint.
+func (e *endpoint) announce() {
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
@@ -242,7 +258,7 @@
 	c := selector.Candidate{
 		ID: e.ID, IsNear: e.Domain == f.domain, Batch: max(1, e.Slots), Busy: e.open, UnreadTokens: e.unread,
 		FreeTokens: 1e9, Residency: selector.Resident, HasRoom: true, IsCold: e.IsCold,
-		FailureShare: e.failures(now), IsSuspect: now.Before(e.suspectUntil),
+		FailureShare: e.failures(now), IsSuspect: now.Before(e.suspectUntil) || e.standing >= detector.Suspect,
 	}
 	if e.engine == nil {
 		return c
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -159,6 +159,8 @@
 	sent  map[run]bool
 	avoid map[run]bool
 	tries int
+	// isRepeatPaid says that the budget has paid for the next repeat.
+	isRepeatPaid bool
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// lastEvent is the last event that the caller has of its stream, and begun that the answer's head was sent.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -693,3 +693,45 @@
 	}
 	close(next)
 }
+
+// TestSilentEndpointLosesWhatCanMove guards against requests that wait until their callers leave for an endpoint whose VM
+// has stopped, and against a move of one that may not run twice or of one whose endpoint is heard.
+func TestSilentEndpointLosesWhatCanMove(t *testing.T) {
+	const beat = 20 * time.Millisecond
+	waits := make(chan struct{})
+	t.Cleanup(func() { close(waits) })
+	stopped := newEndpoint(t, "stopped", func(net.Conn, *http.Request, int) bool {
+		<-waits
+		return false
+	})
+	other := newEndpoint(t, "other", ok)
+	f := newFixture(t, stopped)
+	both := []registrar.Endpoint{stopped.registered("s"), other.registered("s")}
+	report := func(e *endpoint) {
+		f.SetState(wire.EngineState{Address: e.listener.Addr().String(), NextWithinMilliseconds: beat.Milliseconds()})
+	}
+	report(stopped)
+	replies := make(chan reply, 2)
+	go func() { replies <- f.sendCtx(t.Context(), "/once/", "", "Patience", "2500") }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return isCount(stopped, 1) })
+	go func() { replies <- f.sendCtx(t.Context(), "/again/", "", "Patience", "4900") }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return isCount(stopped, 2) })
+	f.SetEndpoints(both)
+	end := time.Now().Add(4 * time.Second)
+	for len(replies) == 0 && time.Now().Before(end) {
+		report(other)
+		f.Watch()
+		time.Sleep(beat / 2)
+	}
+	assert.Equal(t, (<-replies).status, 200)
+	assert.Equal(t, other.count(), 1)
+	assert.Equal(t, (<-replies).status, 504)
+	assert.Equal(t, other.count(), 1)
+}
+
+func isCount(e *endpoint, n int) poll.Result {
+	if e.count() == n {
+		return poll.Success()
+	}
+	return poll.Continue("%d of %d requests", e.count(), n)
+}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -22,11 +22,14 @@
 	// lag of some hundred milliseconds to others, and a load takes a quarter of a second.
 	quietEvery = 100 * time.Millisecond
 	busyEvery  = 20 * time.Millisecond
-	// tellEvery is the longest time between two messages to the entries, and tellLeast the shortest for a change of
-	// the load alone; a change of the adapters is told at once.
+	// tellEvery is the longest time between two messages to the entries, tellUsed the same while requests are at the
+	// engine, and tellLeast the shortest for a change of the load alone; a change of the adapters is told at once.
+	// An entry takes silence for a stopped VM, whose requests should go elsewhere well within a caller's patience of
+	// some seconds.
 	tellEvery = 800 * time.Millisecond
+	tellUsed  = 150 * time.Millisecond
 	tellLeast = 50 * time.Millisecond
-	// tellPerEntry lengthens the shortest interval for each entry.
+	// tellPerEntry lengthens the intervals for each entry.
 	tellPerEntry = 10 * time.Millisecond
 	// demandLife is how long an entry's demand counts without being told again.
 	demandLife = 3 * time.Second
@@ -507,9 +510,11 @@
 // send tells the state if it is due. The adapters are left out when they are known, but not for long: a datagram may be lost.
 func (o *Orderer) send(s wire.EngineState, to []string, isDue, withAdapters bool) {
 	now := o.config.Now()
-	if !isDue && now.Sub(o.toldAt) < tellEvery {
+	if !isDue && now.Sub(o.toldAt) < tellAfter(&o.told, len(to)) {
 		return
 	}
+	// The next message is due at the first look at the engine after the interval.
+	s.NextWithinMilliseconds = (tellAfter(&s, len(to)) + quietEvery).Milliseconds()
 	o.told, o.toldAt = s, now
 	if !withAdapters && now.Sub(o.adaptersAt) < tellEvery {
 		s.Adapters = nil
@@ -521,6 +526,14 @@
 	}
 }
 
+// tellAfter is the longest time from a message with the state to the next one.
+func tellAfter(s *wire.EngineState, entries int) time.Duration {
+	if s.Running+s.Waiting == 0 && s.UnreadTokens == 0 {
+		return tellEvery
+	}
+	return min(tellEvery, tellUsed+time.Duration(entries)*tellPerEntry)
+}
+
 func names(held map[Adapter]int64) []wire.AdapterName {
 	list := make([]wire.AdapterName, 0, len(held))
 	for a, version := range held {
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -352,6 +352,7 @@
 		return looper.Run(ctx, e.gossiper.Run, e.operators.Run, e.endpoints.Run, e.exchange,
 			looper.Every(demandEvery, func(context.Context) { e.sendDemand("") }),
 			looper.Every(changedEvery, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands()) }),
+			looper.Every(forwarder.WatchEvery, func(context.Context) { e.forwarder.Watch() }),
 			looper.Every(tidyEvery, func(context.Context) { e.forwarder.Tidy() }),
 			looper.Every(copyEvery, e.copyTables))
 	})
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -338,8 +338,11 @@
 	Born int64 `json:"Born"`
 
 	// IsDown The engine didn't answer its sidecar.
-	IsDown  bool `json:"IsDown"`
-	Running int  `json:"Running"`
+	IsDown bool `json:"IsDown"`
+
+	// NextWithinMilliseconds The next message follows within this time; 0 when the sender can't say.
+	NextWithinMilliseconds int64 `json:"NextWithinMilliseconds"`
+	Running                int   `json:"Running"`
 
 	// Sequence Rises with each message of one run.
 	Sequence    int64 `json:"Sequence"`
