--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -84,6 +84,7 @@
 	configuration atomic.Pointer[registrar.Configuration]
 	fleet         *fleet
 	start         time.Time
+	retry         atomic.Pointer[retrier.Config]
 	leaving       atomic.Bool
 	open          atomic.Int64
 
@@ -100,12 +101,17 @@
 // New returns a Forwarder without a configuration.
 func New(c Config) *Forwarder {
 	c.Selector = c.Selector.WithDefaults()
-	return &Forwarder{
+	f := &Forwarder{
 		config: c, fleet: newFleet(c.Domain, c.Now), start: c.Now(), budgets: map[string]*budget{},
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)),
 	}
+	f.SetRetry(c.Retry)
+	return f
 }
 
+// SetRetry changes the budget of repeats.
+func (f *Forwarder) SetRetry(c retrier.Config) { f.retry.Store(&c) }
+
 // SetConfiguration puts a configuration in force if it is newer than the one in force.
 func (f *Forwarder) SetConfiguration(c *registrar.Configuration) bool {
 	for {
@@ -373,7 +379,7 @@
 // budget returns the budget of the service. Its constant is divided among the entries and grows over the first window
 // of this process: what an earlier process on the VM repeated still counts, and the other entries aren't known yet.
 func (f *Forwarder) budget(service string) *budget {
-	c := f.config.Retry
+	c := *f.retry.Load()
 	grown := min(1, float64(f.config.Now().Sub(f.start))/float64(c.Window))
 	c.Constant = max(leastConstant, c.Constant*grown/float64(max(1, f.config.Entries())))
 	b := f.budgets[service]
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -735,3 +735,15 @@
 	}
 	return poll.Continue("%d of %d requests", e.count(), n)
 }
+
+// TestChangedBudgetBinds guards against a budget of repeats that stays as it was at the start.
+func TestChangedBudgetBinds(t *testing.T) {
+	a, b := newEndpoint(t, "a", drops), newEndpoint(t, "b", drops)
+	f := newFixture(t, a, b)
+	f.SetRetry(retrier.Config{Ratio: 1e-9, Constant: 1e-9, Window: 10 * time.Second})
+	assert.Equal(t, f.send(t, "/again/", "").status, 502)
+	assert.Equal(t, a.count()+b.count(), 1)
+	f.SetRetry(retrier.Config{Ratio: 0.2, Constant: 5, Window: 10 * time.Second})
+	assert.Equal(t, f.send(t, "/again/", "").status, 502)
+	assert.Equal(t, a.count()+b.count(), 3)
+}
--- a/internal/registrar/follower.go
+++ b/internal/registrar/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,7 +57,7 @@
 	Source Source
 	// Wait is how long the store may hold a read of changes open; 0 polls.
 	Wait time.Duration
-	// Pause is the time between two reads, which bounds the calls of a table that changes all the time.
+	// Pause is the time between two reads, which bounds the calls of a table that changes all the time. SetPause changes it.
 	Pause time.Duration
 	// KeepsLapsed keeps rows that were removed during an outage until restoreTime after its end.
 	KeepsLapsed bool
@@ -76,6 +77,7 @@
 // Follower keeps a copy of one table. It is safe for use by several goroutines.
 type Follower struct {
 	config FollowerConfig
+	pause  atomic.Int64
 
 	mu     sync.Mutex
 	table  Table
@@ -88,9 +90,14 @@
 
 // NewFollower returns a Follower that has read nothing.
 func NewFollower(c FollowerConfig) *Follower {
-	return &Follower{config: c, lapsed: map[string]time.Time{}, lastOK: c.Now()}
+	f := &Follower{config: c, lapsed: map[string]time.Time{}, lastOK: c.Now()}
+	f.SetPause(c.Pause)
+	return f
 }
 
+// SetPause changes the time between two reads.
+func (f *Follower) SetPause(pause time.Duration) { f.pause.Store(int64(pause)) }
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	pause := retryFirst
@@ -99,7 +106,7 @@
 		switch {
 		case err == nil:
 			pause = retryFirst
-			sleep(ctx, f.config.Pause)
+			sleep(ctx, time.Duration(f.pause.Load()))
 		case errors.Is(err, ErrHistoryLost):
 			f.config.Log.Warn().Str("Table", f.config.Table).Int64("Version", f.Table().Version).
 				Msg("registrar: history lost, whole table read again")
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -8,13 +8,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,7 +26,6 @@
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/sharer"
 	"geraniumladder/internal/wire"
-	"geraniumladder/pkg/retrier"
 )
 
 // Platform is what the processes need of the platform.
@@ -89,19 +84,11 @@
 	// MetricsPath is the page of the metrics.
 	MetricsPath string
 	PeerPort    int
-	Seeds       []string
 	Platform    Platform
 	Translator  forwarder.Translator
-	Retry       retrier.Config
-	// LimitAllowance is the number of tokens by which entries may exceed a limit together.
-	LimitAllowance float64
-	StopTimeout    time.Duration
-	// LeaveTime is how long after its notice a leaving endpoint may still get requests.
-	LeaveTime   time.Duration
-	MemoryBytes int64
-	// Reload is called when the settings file may have changed.
-	Reload func() error
-	Log    zerolog.Logger
+	Tuning      Tuning
+	Reload      Reload
+	Log         zerolog.Logger
 }
 
 // Entry is the process that faces callers.
@@ -118,6 +105,7 @@
 	// hasEndpoints is set once requests can go to the listed endpoints.
 	hasEndpoints atomic.Bool
 	boot         string
+	tuning       atomic.Pointer[Tuning]
 
 	// mu orders changes of the configuration and of the endpoints, which depend on each other.
 	mu     sync.Mutex
@@ -126,7 +114,7 @@
 
 // NewEntry opens the socket for datagrams and assembles the entry.
 func NewEntry(c EntryConfig) (*Entry, error) {
-	debug.SetMemoryLimit(int64(float64(c.MemoryBytes) * memoryShare))
+	limitMemory(c.Tuning)
 	instruments, err := meter.New(meter.Config{Role: "entry", VM: c.VM})
 	if err != nil {
 		return nil, err
@@ -136,12 +124,13 @@
 		return nil, err
 	}
 	e := &Entry{config: c, log: c.Log, gossiper: g, meter: instruments, boot: g.Next().Boot}
+	e.tuning.Store(&c.Tuning)
 	e.sharer = sharer.New(sharer.Config{
-		VM: c.VM, Address: c.PeerAddress, Seeds: c.Seeds, Allowance: c.LimitAllowance, Now: time.Now, Log: c.Log,
+		VM: c.VM, Address: c.PeerAddress, Seeds: c.Tuning.Seeds, Allowance: c.Tuning.LimitAllowance, Now: time.Now, Log: c.Log,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
 		VM: c.VM, Domain: c.Domain, Translator: c.Translator, Pool: connector.New(connector.Config{}),
-		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Retry: c.Retry, Entries: e.sharer.Entries,
+		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Retry: c.Tuning.Retry, Entries: e.sharer.Entries,
 		Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log,
 	})
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
@@ -150,7 +139,7 @@
 	})
 	e.endpoints = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.EndpointsTable(), Source: c.Platform,
-		Pause: time.Duration(float64(c.LeaveTime) / endpointsPauses), KeepsLapsed: true,
+		Pause: endpointsPause(c.Tuning), KeepsLapsed: true,
 		OnChange: e.setEndpoints, Now: time.Now, Log: c.Log,
 	})
 	gossiper.Handle(g, kindEngineState, func(s wire.EngineState) (string, gossiper.Stamp) {
@@ -162,6 +151,19 @@
 	return e, nil
 }
 
+func endpointsPause(t Tuning) time.Duration {
+	return time.Duration(float64(t.LeaveTime) / endpointsPauses)
+}
+
+// tune takes changed settings over.
+func (e *Entry) tune(t Tuning) {
+	limitMemory(t)
+	e.tuning.Store(&t)
+	e.sharer.Tune(t.Seeds, t.LimitAllowance)
+	e.forwarder.SetRetry(t.Retry)
+	e.endpoints.SetPause(endpointsPause(t))
+}
+
 func (e *Entry) setOperators(t registrar.Table) {
 	configuration, versions := e.config.Platform.DecodeOperators(t, e.log)
 	e.mu.Lock()
@@ -356,7 +358,7 @@
 			looper.Every(tidyEvery, func(context.Context) { e.forwarder.Tidy() }),
 			looper.Every(copyEvery, e.copyTables))
 	})
-	addLoop(&group, hangups(e.config.Reload, e.log))
+	addLoop(&group, reloads(e.config.Reload, e.tune, e.log))
 	stopped := make(chan struct{})
 	group.Add(func() error {
 		select {
@@ -375,13 +377,13 @@
 // stop ends the work without cutting an answer: the balancer is told first, callers are asked to connect elsewhere, and
 // what is open then gets the rest of the time.
 func (e *Entry) stop(callers *http.Server) {
-	begin := time.Now()
-	e.log.Info().Int64("Open", e.forwarder.Open()).Msg("entry: stopping")
+	begin, timeout := time.Now(), e.tuning.Load().StopTimeout
+	e.log.Info().Int64("Open", e.forwarder.Open()).Dur("Timeout", timeout).Msg("entry: stopping")
 	e.leaving.Store(true)
 	e.sharer.Leave()
 	e.forwarder.Leave()
-	time.Sleep(min(noticeTime, e.config.StopTimeout/2))
-	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(e.config.StopTimeout-stopMargin))
+	time.Sleep(min(noticeTime, timeout/2))
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(timeout-stopMargin))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Int64("Open", e.forwarder.Open()).Msg("entry: requests cut at the end of the stop")
@@ -425,24 +427,3 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
-
-// hangups reloads the settings at SIGHUP.
-func hangups(reload func() error, log zerolog.Logger) looper.Loop {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	return func(ctx context.Context) error {
-		defer signal.Stop(signals)
-		for {
-			select {
-			case <-signals:
-				if err := reload(); err != nil {
-					log.Error().Err(err).Msg("process: settings not reloaded, the earlier ones stay")
-					continue
-				}
-				log.Info().Msg("process: settings reloaded")
-			case <-ctx.Done():
-				return ctx.Err()
-			}
-		}
-	}
-}
--- a/internal/resident/sidecar.go
+++ b/internal/resident/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -43,12 +42,10 @@
 	Platform                    SidecarPlatform
 	Engine                      orderer.Engine
 	// Fence returns a fencing number above all that the VM has had.
-	Fence func(ctx context.Context) (int64, error)
-	// LoadWindow is the time over which the fleet's loads of models from the weight store are counted.
-	LoadWindow  time.Duration
-	MemoryBytes int64
-	Reload      func() error
-	Log         zerolog.Logger
+	Fence  func(ctx context.Context) (int64, error)
+	Tuning Tuning
+	Reload Reload
+	Log    zerolog.Logger
 }
 
 // Sidecar is the process beside a model engine.
@@ -60,14 +57,15 @@
 	meter    *meter.Meter
 	// capacity is nil while it isn't known.
 	capacity atomic.Pointer[orderer.Capacity]
-	// loads is the number of models that the fleet may load in a LoadWindow; at least 1.
-	loads     atomic.Int64
+	// engine is nil while it isn't known.
+	engine    atomic.Pointer[registrar.Engine]
 	operators *registrar.Follower
+	tuning    atomic.Pointer[Tuning]
 }
 
 // NewSidecar opens the socket for datagrams and assembles the sidecar.
 func NewSidecar(c SidecarConfig) (*Sidecar, error) {
-	debug.SetMemoryLimit(int64(float64(c.MemoryBytes) * memoryShare))
+	limitMemory(c.Tuning)
 	instruments, err := meter.New(meter.Config{Role: "sidecar", VM: c.VM})
 	if err != nil {
 		return nil, err
@@ -77,6 +75,7 @@
 		return nil, err
 	}
 	s := &Sidecar{config: c, log: c.Log, gossiper: g, meter: instruments}
+	s.tuning.Store(&c.Tuning)
 	s.operators = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.OperatorsTable(), Source: c.Platform, Pause: sidecarPause,
 		OnChange: s.setOperators, Now: time.Now, Log: c.Log,
@@ -104,7 +103,7 @@
 	for _, m := range service.Engine.Models {
 		capacity.Models = append(capacity.Models, orderer.Model{Name: m.Name, WeightsMB: m.WeightsMB, AdapterMB: m.AdapterMB})
 	}
-	s.loads.Store(max(1, int64(service.Engine.LoadsPerSecond*s.config.LoadWindow.Seconds())))
+	s.engine.Store(service.Engine)
 	if old := s.capacity.Swap(capacity); old == nil {
 		s.log.Info().Int64("Revision", configuration.Version()).Int("Slots", capacity.AdapterSlots).
 			Float64("MemoryMB", capacity.MemoryMB).Msg("sidecar: capacity set")
@@ -113,12 +112,22 @@
 
 // mayLoad takes one of the loads that the weight store allows the fleet in a window.
 func (s *Sidecar) mayLoad(ctx context.Context) (bool, error) {
-	most := s.loads.Load()
+	engine, window := s.engine.Load(), s.tuning.Load().LoadWindow
+	if engine == nil {
+		return false, nil
+	}
+	most := max(1, int(engine.LoadsPerSecond*window.Seconds()))
 	return s.config.Platform.Update(ctx, loadsTable, s.config.Service, func(old []byte, now time.Duration) ([]byte, bool) {
-		return orderer.TakeLoad(old, now, s.config.LoadWindow, int(most))
+		return orderer.TakeLoad(old, now, window, most)
 	})
 }
 
+// tune takes changed settings over.
+func (s *Sidecar) tune(t Tuning) {
+	limitMemory(t)
+	s.tuning.Store(&t)
+}
+
 func (s *Sidecar) tell(state wire.EngineState, to []string) {
 	stamp := s.gossiper.Next()
 	state.Boot, state.Sequence = stamp.Boot, stamp.Sequence
@@ -134,7 +143,7 @@
 	addLoop(&group, func(ctx context.Context) error {
 		return looper.Run(ctx, s.gossiper.Run, s.operators.Run, s.orderer.Run)
 	})
-	addLoop(&group, hangups(s.config.Reload, s.log))
+	addLoop(&group, reloads(s.config.Reload, s.tune, s.log))
 	stopped := make(chan struct{})
 	group.Add(func() error {
 		select {
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -118,6 +118,15 @@
 	}
 }
 
+// Tune changes the seeds and the allowance.
+func (s *Sharer) Tune(seeds []string, allowance float64) {
+	s.mu.Lock()
+	s.config.Seeds, s.config.Allowance = seeds, allowance
+	organisations := s.organisations
+	s.mu.Unlock()
+	s.SetOrganisations(organisations)
+}
+
 func (s *Sharer) limit(o *registrar.Organisation) limiter.TallyConfig {
 	return limiter.TallyConfig{Rate: o.Rate, Burst: o.Burst, Allowance: s.config.Allowance}
 }
