An empty store is followed, not read as a whole again and again

It now notes that it has read the table, by a flag of its own in place of a negative version.

The new test fails before (25 whole reads in place of one).

--- a/internal/registrar/follower.go
+++ b/internal/registrar/follower.go
@@ -79,8 +79,11 @@
 	config FollowerConfig
 	pause  atomic.Int64
 
-	mu     sync.Mutex
-	table  Table
+	mu    sync.Mutex
+	table Table
+	// isRead is set once the table was read as a whole, and until the store's history is lost. A store in which nothing
+	// has been written yet is at version 0.
+	isRead bool
 	lapsed map[string]time.Time
 	lastOK time.Time
 	away   bool
@@ -124,7 +127,7 @@
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
 	after := f.table.Version
-	whole := after <= 0
+	whole := !f.isRead
 	f.mu.Unlock()
 	if whole {
 		rows, err := f.config.Source.ReadTable(ctx, f.config.Table)
@@ -146,7 +149,7 @@
 func (f *Follower) reset() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.table.Version = -f.table.Version
+	f.isRead = false
 }
 
 func (f *Follower) failed(err error) {
@@ -177,7 +180,7 @@
 // replace takes a whole table. From a peer it is taken only when it is newer.
 func (f *Follower) replace(rows Rows, fromStore bool) bool {
 	f.mu.Lock()
-	current := max(f.table.Version, -f.table.Version)
+	current := f.table.Version
 	if !fromStore && rows.Version <= current {
 		f.mu.Unlock()
 		return false
@@ -185,6 +188,7 @@
 	wasAway := false
 	if fromStore {
 		wasAway = f.answered()
+		f.isRead = true
 	}
 	next := make(map[string]Row, len(rows.Rows))
 	for _, row := range rows.Rows {
@@ -270,9 +274,7 @@
 func (f *Follower) Table() Table {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := f.table
-	t.Version = max(t.Version, -t.Version)
-	return t
+	return f.table
 }
 
 // Failing is how long reads have failed in a row; 0 when the last one succeeded.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -120,6 +120,20 @@
 	return ok
 }
 
+// TestFollowerWaitsForTheFirstRow guards against whole reads in a row while nothing has been written to the store yet.
+func TestFollowerWaitsForTheFirstRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		f := follow(t, s, false)
+		time.Sleep(5 * time.Second)
+		s.set(func() { assert.Equal(t, s.reads, 1) })
+		s.put("a", "1")
+		time.Sleep(time.Second)
+		assert.Assert(t, f.has("a"))
+		f.stop()
+	})
+}
+
 // TestFollowerSurvivesLostHistory guards against changes that are missed when the store forgets its history.
 func TestFollowerSurvivesLostHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
