An entry that wakes sends nothing whose time is over; events compared with a direct path

Between the choice of an endpoint and the write of the request an entry may stand still (a frozen VM). The request then went out although its caller's time was over, with a remaining time from before. The clock and the caller are now looked at last, right before the write. The new test fails before (200 in place of 503, and the endpoint got the request).

BenchmarkDirectEvent measures the same chain without an entry, so that the entry's part of BenchmarkStreamedEvent shows in one run.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -195,16 +195,15 @@
 	}()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	if ctx.Err() != nil {
-		// The caller may have left while the connection was opened.
-		return refuseFull("timeout-waiting", 0), false
-	}
-
-	x.tries++
 	request := &connector.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		Header: x.f.config.Translator.EndpointHeader(x.r.Header, x.dispatch(e, version)),
 	}
+	if ctx.Err() != nil || x.deadline.Sub(x.f.config.Now()) < leastRemaining {
+		// The caller may have left while the connection was opened, or this process may not have run since the choice.
+		return refuseFull("timeout-waiting", 0), false
+	}
+	x.tries++
 	a := x.attempt(key, conn)
 	f.opened(e, a)
 	defer func() {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -179,12 +179,17 @@
 
 // newFixture serves routes of each kind to the endpoints of one service.
 func newFixture(t *testing.T, endpoints ...*endpoint) *fixture {
+	t.Helper()
+	return newFixtureWith(t, translator{}, longRunning(), endpoints...)
+}
+
+func newFixtureWith(t *testing.T, headers forwarder.Translator, now func() time.Time, endpoints ...*endpoint) *fixture {
 	t.Helper()
 	a := &admitter{}
 	f := forwarder.New(forwarder.Config{
-		VM: "entry", Translator: translator{}, Pool: connector.New(connector.Config{}), Admitter: a, Observer: observer{},
+		VM: "entry", Translator: headers, Pool: connector.New(connector.Config{}), Admitter: a, Observer: observer{},
 		Demand: func(string) {}, Retry: retrier.Config{Ratio: 0.2, Constant: 5, Window: 10 * time.Second}, Entries: func() int { return 1 },
-		Now: longRunning(), Seed: 1, Log: zerolog.Nop(),
+		Now: now, Seed: 1, Log: zerolog.Nop(),
 	})
 	targets := []registrar.Target{{Service: "s", Weight: 1}}
 	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
@@ -633,13 +638,42 @@
 }
 
 // BenchmarkStreamedEvent measures what one event of a stream costs from an endpoint through the entry to a caller, all
-// three on one machine.
+// three on one machine. The entry's part is the difference to BenchmarkDirectEvent.
 func BenchmarkStreamedEvent(b *testing.B) {
-	const text = "id: 1234\ndata: 012345678901234567890123456789\n\n"
-	chunk := []byte(fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
+	address, next := eventSource(b)
+	f := forwarder.New(forwarder.Config{
+		Translator: translator{}, Pool: connector.New(connector.Config{}), Admitter: &admitter{}, Observer: observer{},
+		Demand: func(string) {}, Entries: func() int { return 1 }, Now: time.Now, Seed: 1, Log: zerolog.Nop(),
+	})
+	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
+		Version: 1,
+		Routes: []registrar.Route{{
+			Name: "stream", Host: "h", Prefix: "/", Kind: registrar.Stream, Timeout: time.Hour, Attempts: 1, Open: true,
+			Targets: []registrar.Target{{Service: "s", Weight: 1}},
+		}},
+		Services: []registrar.Service{{Name: "s"}},
+	}))
+	f.SetEndpoints([]registrar.Endpoint{{ID: "e", Service: "s", Address: address}})
+	server := httptest.NewServer(f)
+	defer server.Close()
+	readEvents(b, server.Listener.Addr().String(), next)
+}
+
+// BenchmarkDirectEvent measures the same without an entry.
+func BenchmarkDirectEvent(b *testing.B) {
+	address, next := eventSource(b)
+	readEvents(b, address, next)
+}
+
+const benchmarkEvent = "id: 1234\ndata: 012345678901234567890123456789\n\n"
+
+// eventSource is an endpoint that sends one event for each receipt from the channel.
+func eventSource(b *testing.B) (string, chan struct{}) {
+	b.Helper()
+	chunk := []byte(fmt.Sprintf("%x\r\n%s\r\n", len(benchmarkEvent), benchmarkEvent))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
-	defer func() { _ = l.Close() }()
+	b.Cleanup(func() { _ = l.Close() })
 	next := make(chan struct{})
 	go func() {
 		c, err := l.Accept()
@@ -658,22 +692,12 @@
 		}
 		_, _ = c.Write([]byte("0\r\n\r\n"))
 	}()
-	f := forwarder.New(forwarder.Config{
-		Translator: translator{}, Pool: connector.New(connector.Config{}), Admitter: &admitter{}, Observer: observer{},
-		Demand: func(string) {}, Entries: func() int { return 1 }, Now: time.Now, Seed: 1, Log: zerolog.Nop(),
-	})
-	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
-		Version: 1,
-		Routes: []registrar.Route{{
-			Name: "stream", Host: "h", Prefix: "/", Kind: registrar.Stream, Timeout: time.Hour, Attempts: 1, Open: true,
-			Targets: []registrar.Target{{Service: "s", Weight: 1}},
-		}},
-		Services: []registrar.Service{{Name: "s"}},
-	}))
-	f.SetEndpoints([]registrar.Endpoint{{ID: "e", Service: "s", Address: l.Addr().String()}})
-	server := httptest.NewServer(f)
-	defer server.Close()
-	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	return l.Addr().String(), next
+}
+
+func readEvents(b *testing.B, address string, next chan struct{}) {
+	b.Helper()
+	c, err := net.Dial("tcp", address)
 	assert.NilError(b, err)
 	defer func() { _ = c.Close() }()
 	_, err = fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
@@ -681,7 +705,7 @@
 	next <- struct{}{}
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NilError(b, err)
-	buffer := make([]byte, len(text))
+	buffer := make([]byte, len(benchmarkEvent))
 	_, err = io.ReadFull(response.Body, buffer)
 	assert.NilError(b, err)
 	b.ReportAllocs()
@@ -694,6 +718,31 @@
 	close(next)
 }
 
+// stoppingTranslator lets the entry stand still for a minute just before each send.
+type stoppingTranslator struct {
+	translator
+	still *atomic.Int64
+}
+
+func (t stoppingTranslator) EndpointHeader(caller http.Header, d forwarder.Dispatch) http.Header {
+	t.still.Add(int64(time.Minute))
+	return t.translator.EndpointHeader(caller, d)
+}
+
+// TestWokenEntrySendsNothingOld guards against a request that reaches an endpoint though its time ran out while the
+// entry stood still between the choice and the send.
+func TestWokenEntrySendsNothingOld(t *testing.T) {
+	for _, path := range []string{"/once/", "/again/"} {
+		e := newEndpoint(t, "e", ok)
+		still := &atomic.Int64{}
+		f := newFixtureWith(t, stoppingTranslator{still: still}, func() time.Time {
+			return time.Now().Add(time.Duration(still.Load()))
+		}, e)
+		assert.Equal(t, f.send(t, path, "").status, 503, path)
+		assert.Equal(t, e.count(), 0, path)
+	}
+}
+
 // TestSilentEndpointLosesWhatCanMove guards against requests that wait until their callers leave for an endpoint whose VM
 // has stopped, and against a move of one that may not run twice or of one whose endpoint is heard.
 func TestSilentEndpointLosesWhatCanMove(t *testing.T) {
