A run that a later one at its address supersedes gets nothing

Cause: after a loss of power, engines start again at their addresses under new IDs, and the registrations of their earlier runs stay for three heartbeats. Entries, which start then too, read both and sent to either. The later run turned away what named the earlier one with 421: 22 to 70 times in the two seconds after a loss of power, each a repeat that counts, a refusal where the budget was used up, and time at the moment when it is scarcest.

Ruled out: table copies that are out of date (both rows are in the store), and the sidecars (they report the later run's start).

Change: of two runs at one address the one born earlier is over, and so is one whose sidecar reports a later start.

The new test fails before (503 in place of 200).

--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -46,6 +46,8 @@
 	// beats are the sidecar's reports as signs of life, and standing is what the last watch made of them.
 	beats    detector.Beats
 	standing detector.Standing
+	// isSuperseded runs have ended, because a later one has their address. Their registration may outlive them.
+	isSuperseded bool
 	// attempts are the open ones.
 	attempts map[*attempt]struct{}
 	// resident holds the adapters that the engine is believed to hold, loading those on their way.
@@ -136,9 +138,14 @@
 			}
 		}
 		f.byRun[key] = e
-		f.byAddress[r.Address] = e
+		if other := f.byAddress[r.Address]; other == nil || other.Born < r.Born {
+			f.byAddress[r.Address] = e
+		}
 		f.byService[r.Service] = append(f.byService[r.Service], e)
 	}
+	for _, e := range f.byRun {
+		e.isSuperseded = e.isSuperseded || e.Born != 0 && e.Born < f.byAddress[e.Address].Born
+	}
 }
 
 func heldAdapters(models []registrar.HeldModel) map[registrar.AdapterKey]int64 {
@@ -171,7 +178,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.byAddress[s.Address]
-	if e == nil || e.Born != 0 && s.Born != 0 && e.Born != s.Born {
+	if e == nil {
+		return
+	}
+	if e.Born != 0 && s.Born != 0 && e.Born != s.Born {
+		if e.Born < s.Born && !e.isSuperseded {
+			e.isSuperseded = true
+			e.announce()
+		}
 		return
 	}
 	if s.Adapters != nil && !s.IsDown {
@@ -243,7 +257,7 @@
 	endpoints := make([]*endpoint, 0, len(list))
 	for _, e := range list {
 		key := run{id: e.ID, born: e.Born}
-		if e.IsLeaving || w.avoid[key] || w.failed[key] || w.only != nil && !w.only[key] {
+		if e.IsLeaving || e.isSuperseded || w.avoid[key] || w.failed[key] || w.only != nil && !w.only[key] {
 			continue
 		}
 		endpoints = append(endpoints, e)
@@ -284,7 +298,7 @@
 
 // isGone says whether the endpoint leaves or is no longer listed, so that it gets nothing new.
 func (f *fleet) isGone(e *endpoint) bool {
-	return e.IsLeaving || f.byRun[run{id: e.ID, born: e.Born}] != e
+	return e.IsLeaving || e.isSuperseded || f.byRun[run{id: e.ID, born: e.Born}] != e
 }
 
 // misdirected notes that the address belongs to another endpoint by now, or that the engine lacks the adapter or its version.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -360,6 +360,33 @@
 	assert.Assert(t, other.count() <= 2, "%d requests", other.count())
 }
 
+// TestSupersededRunGetsNothing guards against requests for an earlier run of an endpoint whose registration has outlived
+// it: the later run at its address turns them away, and each counts as a repeat.
+func TestSupersededRunGetsNothing(t *testing.T) {
+	e := newEndpoint(t, "later", func(c net.Conn, r *http.Request, _ int) bool {
+		if r.Header.Get("Endpoint") != "later" {
+			return respond(c, r, 421, "", "another")
+		}
+		return respond(c, r, 200, "", "done")
+	})
+	f := newFixture(t, e)
+	earlier, later := e.registered("s"), e.registered("s")
+	earlier.ID, earlier.Born, later.Born = "earlier", 1, 2
+	for _, list := range [][]registrar.Endpoint{{earlier, later}, {later, earlier}} {
+		f.SetEndpoints(list)
+		for range 10 {
+			assert.Equal(t, f.send(t, "/once/", "").status, 200)
+		}
+	}
+	assert.Equal(t, e.count(), 20)
+	// The sidecar knows of the later run before the registration does.
+	other := newFixture(t, e)
+	other.SetEndpoints([]registrar.Endpoint{earlier})
+	other.SetState(wire.EngineState{Address: earlier.Address, Born: 2})
+	assert.Equal(t, other.send(t, "/once/", "").status, 503)
+	assert.Equal(t, e.count(), 20)
+}
+
 // TestClosedPortIsNotRun guards against a failure for a request that never reached an endpoint.
 func TestClosedPortIsNotRun(t *testing.T) {
 	gone, live := newEndpoint(t, "gone", ok), newEndpoint(t, "live", ok)
--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -139,7 +139,7 @@
 // hasOther says whether another endpoint of the service may take work.
 func (f *fleet) hasOther(e *endpoint) bool {
 	for _, other := range f.byService[e.Service] {
-		if other != e && !other.IsLeaving && other.standing == detector.Heard && !other.state.IsDown {
+		if other != e && !other.IsLeaving && !other.isSuperseded && other.standing == detector.Heard && !other.state.IsDown {
 			return true
 		}
 	}
