Datagrams between processes are compressed

Ruled out: fewer messages (told less often, entries choose worse; the intervals were weighed before), messages without what has not changed (the sets of used adapters change with nearly each request).

Change: one datagram is one message compressed by flate with a dictionary of the messages' names. Plain datagrams are still understood.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -1,4 +1,4 @@
-// Package gossiper exchanges small JSON messages between the project's processes as datagrams. A datagram needs no
+// Package gossiper exchanges small JSON messages between the project's processes as compressed datagrams. A datagram needs no
 // connection that could go silent, and one that is lost is replaced by the next. It owns one socket and the sequence
 // numbers of what it has sent and heard. It uses no store.
 package gossiper
@@ -95,12 +95,7 @@
 
 // Send sends a message. A failure is only logged at debug level, because the next message repeats what matters.
 func (g *Gossiper) Send(kind string, message any, to ...string) {
-	body, err := json.Marshal(message)
-	if err != nil {
-		g.log.Error().Err(err).Str("Kind", kind).Msg("gossiper: message not encoded")
-		return
-	}
-	packet, err := json.Marshal(envelope{Kind: kind, Body: body})
+	packet, err := encode(kind, message)
 	if err != nil {
 		g.log.Error().Err(err).Str("Kind", kind).Msg("gossiper: message not encoded")
 		return
@@ -135,6 +130,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() })
 	defer stop()
 	buffer := make([]byte, maxDatagram)
+	expand := newDecompressor()
 	for {
 		n, from, err := g.conn.ReadFromUDP(buffer)
 		if ctx.Err() != nil {
@@ -143,13 +139,12 @@
 		if err != nil {
 			return errors.Wrap(err, "receive datagrams")
 		}
-		g.receive(buffer[:n], from.String())
+		g.receive(expand, buffer[:n], from.String())
 	}
 }
 
-func (g *Gossiper) receive(packet []byte, from string) {
-	var e envelope
-	err := json.Unmarshal(packet, &e)
+func (g *Gossiper) receive(expand *decompressor, packet []byte, from string) {
+	e, err := expand.decode(packet)
 	if err == nil {
 		if handle, ok := g.handlers[e.Kind]; ok {
 			err = handle(e.Body, from)
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 	"gotest.tools/v3/poll"
 
 	"geraniumladder/internal/gossiper"
+	"geraniumladder/internal/wire"
 )
 
 type message struct {
@@ -57,6 +60,70 @@
 	assert.ErrorIs(t, <-end, context.Canceled)
 }
 
+// TestMessagesShrink guards against datagrams as large as their JSON, and against plain ones that are not understood:
+// processes of an earlier build send them.
+func TestMessagesShrink(t *testing.T) {
+	receiver, sender := listen(t), listen(t)
+	got := make(chan string, 10)
+	gossiper.Handle(receiver, "M", stamp, func(m message, _ string) { got <- m.Text })
+	ctx, cancel := context.WithCancel(t.Context())
+	end := make(chan error)
+	go func() { end <- receiver.Run(ctx) }()
+	raw, err := net.Dial("udp4", receiver.Address())
+	assert.NilError(t, err)
+	_, err = raw.Write([]byte(`{"Kind":"M","Body":{"Boot":"a","Sequence":1,"Text":"plain"}}`))
+	assert.NilError(t, err)
+	assert.Equal(t, receive(t, got), "plain")
+	assert.NilError(t, raw.Close())
+	// Larger than a datagram before it is compressed.
+	long := strings.Repeat("long ", 20<<10)
+	sender.Send("M", message{Boot: "b", Sequence: 1, Text: long}, receiver.Address())
+	assert.Equal(t, receive(t, got), long)
+	sink, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer func() { _ = sink.Close() }()
+	state := wire.EngineState{Address: "10.1.0.11:8420", Boot: "c7649be6", Sequence: 4711, Born: 1774762541875, Running: 7, TotalTokens: 232000}
+	sender.Send("EngineState", state, sink.LocalAddr().String())
+	buffer := make([]byte, 4096)
+	assert.NilError(t, sink.SetReadDeadline(time.Now().Add(20*time.Second)))
+	n, _, err := sink.ReadFromUDP(buffer)
+	assert.NilError(t, err)
+	plain, err := json.Marshal(state)
+	assert.NilError(t, err)
+	assert.Assert(t, n < len(plain)/2, "%d bytes for %d of JSON", n, len(plain))
+	cancel()
+	assert.ErrorIs(t, <-end, context.Canceled)
+}
+
+// FuzzReceive searches for datagrams that end the reception or the process.
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte("\x01"))
+	f.Add([]byte("\x01\x02\x03"))
+	f.Add([]byte(`{"Kind":"M","Body":7}`))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, packet []byte) {
+		if len(packet) > 1400 {
+			return
+		}
+		receiver, sender := listen(t), listen(t)
+		got := make(chan string, 10)
+		gossiper.Handle(receiver, "M", stamp, func(m message, _ string) { got <- m.Text })
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan error)
+		go func() { end <- receiver.Run(ctx) }()
+		raw, err := net.Dial("udp4", receiver.Address())
+		assert.NilError(t, err)
+		_, err = raw.Write(packet)
+		assert.NilError(t, err)
+		assert.NilError(t, raw.Close())
+		for after := ""; after != "after"; after = receive(t, got) {
+			sender.Send("M", message{Boot: "after", Sequence: sender.Next().Sequence, Text: "after"}, receiver.Address())
+		}
+		cancel()
+		assert.ErrorIs(t, <-end, context.Canceled)
+	})
+}
+
 func receive(t *testing.T, from chan string) string {
 	t.Helper()
 	text := ""
