--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -48,6 +48,8 @@
 	standing detector.Standing
 	// isSuperseded runs have ended, because a later one has their address. Their registration may outlive them.
 	isSuperseded bool
+	// isSupersededTold is set once that was logged.
+	isSupersededTold bool
 	// attempts are the open ones.
 	attempts map[*attempt]struct{}
 	// resident holds the adapters that the engine is believed to hold, loading those on their way.
--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -12,7 +12,7 @@
 const WatchEvery = 50 * time.Millisecond
 
 // silentIdle is how long no byte must have arrived for an attempt that is given up at a silent endpoint. Where only the
-// sidecar has stopped, the engine's bytes keep the attempt; a busy engine takes a tenth of this between two events.
+// sidecar has stopped, the engine's bytes keep the attempt; twice the pause between events that the users call late.
 const silentIdle = 600 * time.Millisecond
 
 // attempt is one open request at an endpoint.
@@ -61,6 +61,8 @@
 	endpoint string
 	was, is  detector.Standing
 	silence  time.Duration
+	// isSuperseded says that the endpoint was found to have ended.
+	isSuperseded bool
 }
 
 // withdrawal is an attempt that should be given up, with the time since bytes arrived.
@@ -75,6 +77,10 @@
 func (f *Forwarder) Watch() {
 	changes, withdrawals := f.fleet.watch(f.config.Now())
 	for _, c := range changes {
+		if c.isSuperseded {
+			f.config.Log.Info().Str("Endpoint", c.endpoint).Dur("Silence", c.silence).Msg("forwarder: a later run has the endpoint's address")
+			continue
+		}
 		f.config.Log.Info().Str("Endpoint", c.endpoint).Stringer("Was", c.was).Stringer("Is", c.is).Dur("Silence", c.silence).
 			Msg("forwarder: endpoint's standing changed")
 	}
@@ -103,6 +109,10 @@
 	var changes []changedStanding
 	known, silent := 0, 0
 	for _, e := range f.byRun {
+		if e.isSuperseded && !e.isSupersededTold {
+			e.isSupersededTold = true
+			changes = append(changes, changedStanding{endpoint: e.ID, silence: now.Sub(e.beats.Last()), isSuperseded: true})
+		}
 		was := e.standing
 		e.standing = f.detector.Standing(e.beats, now)
 		if was != e.standing {
