--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -106,8 +106,22 @@
 		}
 	}
 	f.watchedAt = now
-	var changes []changedStanding
-	known, silent := 0, 0
+	changes, known, silent := f.judge(now)
+	if silent == 0 || 2*silent > known {
+		// When most are silent, the fault is more likely near this entry than at each of them.
+		return changes, nil
+	}
+	var withdrawals []withdrawal
+	for _, e := range f.byRun {
+		if e.standing == detector.Silent && f.hasOther(e) {
+			withdrawals = append(withdrawals, e.stuck(now)...)
+		}
+	}
+	return changes, withdrawals
+}
+
+// judge updates the standings and counts the endpoints that are heard of at all, and those that are silent.
+func (f *fleet) judge(now time.Time) (changes []changedStanding, known, silent int) {
 	for _, e := range f.byRun {
 		if e.isSuperseded && !e.isSupersededTold {
 			e.isSupersededTold = true
@@ -126,24 +140,20 @@
 			silent++
 		}
 	}
-	if silent == 0 || 2*silent > known {
-		// When most are silent, the fault is more likely near this entry than at each of them.
-		return changes, nil
-	}
-	var withdrawals []withdrawal
-	for _, e := range f.byRun {
-		if e.standing != detector.Silent || !f.hasOther(e) {
+	return changes, known, silent
+}
+
+// stuck lists the attempts that get no answer and that another endpoint may take over.
+func (e *endpoint) stuck(now time.Time) []withdrawal {
+	var list []withdrawal
+	for a := range e.attempts {
+		progress := time.Unix(0, a.progress.Load())
+		if !a.mayMove || a.isGivenUp.Load() || now.Sub(progress) < silentIdle || a.until.Sub(now) < leastRemaining {
 			continue
 		}
-		for a := range e.attempts {
-			progress := time.Unix(0, a.progress.Load())
-			if !a.mayMove || a.isGivenUp.Load() || now.Sub(progress) < silentIdle || a.until.Sub(now) < leastRemaining {
-				continue
-			}
-			withdrawals = append(withdrawals, withdrawal{attempt: a, endpoint: e.ID, idle: now.Sub(progress)})
-		}
+		list = append(list, withdrawal{attempt: a, endpoint: e.ID, idle: now.Sub(progress)})
 	}
-	return changes, withdrawals
+	return list
 }
 
 // hasOther says whether another endpoint of the service may take work.
