Review of the change: one hash finaliser, one look-up of prompt parts, dead fields out

- registrar.Mix was a second finaliser of hashes beside that of pkg/placer, which is now placer.Mix and called by both.
Shares of split routes and homes of adapters fall differently, evenly as before.
- Hashes of a prompt's leading parts were computed anew for each endpoint of each choice, and homes were ranked by comparing all pairs: once a request, and one sort.
- A run that a later one supersedes was logged through a second flag by the watch; it is logged where it is found.
- A datagram's body was encoded twice.
- Orders are logged with the result's name in place of a number.

No check or bound changes; the tests' translator lost a field that is gone.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -242,12 +242,6 @@
 	}
 }
 
-// SetReadDeadline bounds the reads that follow.
-func (c *Conn) SetReadDeadline(t time.Time) error { return c.net.SetReadDeadline(t) }
-
-// SetDeadline bounds reads and writes.
-func (c *Conn) SetDeadline(t time.Time) error { return c.net.SetDeadline(t) }
-
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
@@ -261,10 +255,6 @@
 		c.Close()
 		return
 	}
-	if err := c.net.SetDeadline(time.Time{}); err != nil {
-		c.Close()
-		return
-	}
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	list := c.pool.idle[c.address]
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -30,6 +30,8 @@
 	HasTokens                  bool
 	// Parts are the prompt's parts in their order.
 	Parts []Part
+	// chains has a hash for each leading run of Parts; a Forwarder fills it in once.
+	chains []uint64
 	// LastEvent is the last event that the caller has of a broken stream; empty for a new one.
 	LastEvent string
 }
@@ -57,8 +59,6 @@
 	IsMisdirected bool
 	// EndpointID is that of the endpoint that answers; empty when the answer doesn't say.
 	EndpointID string
-	// IsSigned answers come from an endpoint's own run.
-	IsSigned bool
 }
 
 // Translator reads and writes the headers of callers and endpoints.
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -1,13 +1,16 @@
 package forwarder
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
 	"geraniumladder/pkg/detector"
+	"geraniumladder/pkg/placer"
 	"geraniumladder/pkg/selector"
 )
 
@@ -48,8 +51,6 @@
 	standing detector.Standing
 	// isSuperseded runs have ended, because a later one has their address. Their registration may outlive them.
 	isSuperseded bool
-	// isSupersededTold is set once that was logged.
-	isSupersededTold bool
 	// attempts are the open ones.
 	attempts map[*attempt]struct{}
 	// resident holds the adapters that the engine is believed to hold, loading those on their way.
@@ -114,8 +115,9 @@
 	}
 }
 
-// withEndpoints replaces the list of endpoints. What is known of those that stay is kept.
-func (f *fleet) withEndpoints(list []registrar.Endpoint, c *registrar.Configuration) {
+// withEndpoints replaces the list of endpoints and returns the IDs of runs that it shows to have ended. What is known of
+// those that stay is kept.
+func (f *fleet) withEndpoints(list []registrar.Endpoint, c *registrar.Configuration) (superseded []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.byRun
@@ -146,8 +148,21 @@
 		f.byService[r.Service] = append(f.byService[r.Service], e)
 	}
 	for _, e := range f.byRun {
-		e.isSuperseded = e.isSuperseded || e.Born != 0 && e.Born < f.byAddress[e.Address].Born
+		if e.Born != 0 && e.Born < f.byAddress[e.Address].Born && e.supersede() {
+			superseded = append(superseded, e.ID)
+		}
+	}
+	return superseded
+}
+
+// supersede notes that a later run has the endpoint's address, and says whether that is new.
+func (e *endpoint) supersede() bool {
+	if e.isSuperseded {
+		return false
 	}
+	e.isSuperseded = true
+	e.announce()
+	return true
 }
 
 func heldAdapters(models []registrar.HeldModel) map[registrar.AdapterKey]int64 {
@@ -175,20 +190,19 @@
 	return f.versions[key]
 }
 
-// withState takes a sidecar's report.
-func (f *fleet) withState(s wire.EngineState) {
+// withState takes a sidecar's report and returns the ID of a run that it shows to have ended, if any.
+func (f *fleet) withState(s wire.EngineState) (superseded string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.byAddress[s.Address]
 	if e == nil {
-		return
+		return ""
 	}
 	if e.Born != 0 && s.Born != 0 && e.Born != s.Born {
-		if e.Born < s.Born && !e.isSuperseded {
-			e.isSuperseded = true
-			e.announce()
+		if e.Born < s.Born && e.supersede() {
+			return e.ID
 		}
-		return
+		return ""
 	}
 	if s.Adapters != nil && !s.IsDown {
 		now := f.now()
@@ -209,6 +223,7 @@
 	e.state.Adapters = nil
 	e.beats = e.beats.WithBeat(e.stateAt, time.Duration(s.NextWithinMilliseconds)*time.Millisecond)
 	e.announce()
+	return ""
 }
 
 // announce wakes those who wait for a change at the endpoint.
@@ -372,7 +387,7 @@
 		return 0
 	}
 	kept := 0.0
-	for i, chain := range chains(call.Parts) {
+	for i, chain := range call.chains {
 		if _, ok := e.kept[partKey{adapter: call.Model, chain: chain}]; !ok {
 			break
 		}
@@ -395,14 +410,15 @@
 		h.Write([]byte(key.Adapter))
 		h.Write([]byte{'@'})
 		h.Write([]byte(candidates[i].ID))
-		weights[i] = registrar.Mix(h.Sum64())
+		weights[i] = placer.Mix(h.Sum64())
 	}
-	for i := range candidates {
-		for j := range candidates {
-			if weights[j] > weights[i] {
-				candidates[i].HomeRank++
-			}
-		}
+	order := make([]int, len(candidates))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
+	for rank, i := range order {
+		candidates[i].HomeRank = rank
 	}
 }
 
@@ -415,7 +431,7 @@
 	u := e.useOf(call.Model, version)
 	u.open++
 	u.recent++
-	for _, chain := range chains(call.Parts) {
+	for _, chain := range call.chains {
 		e.kept[partKey{adapter: call.Model, chain: chain}] = now
 	}
 	if len(e.kept) > keptPartsMost {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -130,7 +130,13 @@
 
 // SetEndpoints replaces the list of endpoints.
 func (f *Forwarder) SetEndpoints(list []registrar.Endpoint) {
-	f.fleet.withEndpoints(list, f.configuration.Load())
+	for _, id := range f.fleet.withEndpoints(list, f.configuration.Load()) {
+		f.logSuperseded(id)
+	}
+}
+
+func (f *Forwarder) logSuperseded(endpoint string) {
+	f.config.Log.Info().Str("Endpoint", endpoint).Msg("forwarder: a later run has the endpoint's address")
 }
 
 // SetVersions replaces the declared adapter versions.
@@ -139,7 +145,11 @@
 }
 
 // SetState takes a sidecar's report.
-func (f *Forwarder) SetState(s wire.EngineState) { f.fleet.withState(s) }
+func (f *Forwarder) SetState(s wire.EngineState) {
+	if id := f.fleet.withState(s); id != "" {
+		f.logSuperseded(id)
+	}
+}
 
 // Leave makes answers ask their callers to use other connections.
 func (f *Forwarder) Leave() { f.leaving.Store(true) }
@@ -199,6 +209,7 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	x := &exchange{f: f, w: w, r: r, arrived: f.config.Now(), call: f.config.Translator.DecodeCall(r.Header)}
+	x.call.chains = chains(x.call.Parts)
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -59,7 +59,6 @@
 	return forwarder.Answer{
 		RequestID: r.Header.Get("Id"), IsNotRun: r.Header.Get("Not-Run") != "" || r.StatusCode == 421, IsMisdirected: r.StatusCode == 421,
 		EndpointID: r.Header.Get("Answerer"),
-		IsSigned:   r.Header.Get("Signed") != "",
 	}
 }
 
--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -61,8 +61,6 @@
 	endpoint string
 	was, is  detector.Standing
 	silence  time.Duration
-	// isSuperseded says that the endpoint was found to have ended.
-	isSuperseded bool
 }
 
 // withdrawal is an attempt that should be given up, with the time since bytes arrived.
@@ -77,10 +75,6 @@
 func (f *Forwarder) Watch() {
 	changes, withdrawals := f.fleet.watch(f.config.Now())
 	for _, c := range changes {
-		if c.isSuperseded {
-			f.config.Log.Info().Str("Endpoint", c.endpoint).Dur("Silence", c.silence).Msg("forwarder: a later run has the endpoint's address")
-			continue
-		}
 		f.config.Log.Info().Str("Endpoint", c.endpoint).Stringer("Was", c.was).Stringer("Is", c.is).Dur("Silence", c.silence).
 			Msg("forwarder: endpoint's standing changed")
 	}
@@ -123,10 +117,6 @@
 // judge updates the standings and counts the endpoints that are heard of at all, and those that are silent.
 func (f *fleet) judge(now time.Time) (changes []changedStanding, known, silent int) {
 	for _, e := range f.byRun {
-		if e.isSuperseded && !e.isSupersededTold {
-			e.isSupersededTold = true
-			changes = append(changes, changedStanding{endpoint: e.ID, silence: now.Sub(e.beats.Last()), isSuperseded: true})
-		}
 		was := e.standing
 		e.standing = f.detector.Standing(e.beats, now)
 		if was != e.standing {
--- a/internal/gossiper/codec.go
+++ b/internal/gossiper/codec.go
@@ -49,11 +49,10 @@
 
 // encode returns the datagram for a message.
 func encode(kind string, message any) ([]byte, error) {
-	body, err := json.Marshal(message)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode a message")
-	}
-	plain, err := json.Marshal(envelope{Kind: kind, Body: body})
+	plain, err := json.Marshal(struct {
+		Kind string
+		Body any
+	}{kind, message})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode a message")
 	}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -23,7 +23,7 @@
 	bootMemory = time.Minute
 )
 
-// envelope is one datagram. Exactly one field is set.
+// envelope is one datagram as it arrives.
 type envelope struct {
 	Kind string
 	Body json.RawMessage
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -33,15 +33,25 @@
 	return g
 }
 
-// TestOldMessagesAreDropped guards against a late datagram that replaces newer knowledge, against a restarted sender
-// that is ignored, and against a datagram of garbage that ends the reception.
-func TestOldMessagesAreDropped(t *testing.T) {
-	receiver, sender := listen(t), listen(t)
-	got := make(chan string, 10)
+// exchange starts a receiver and returns a sender, the texts that arrive, and what ends the reception without a failure.
+func exchange(t *testing.T) (receiver, sender *gossiper.Gossiper, got chan string, stop func()) {
+	t.Helper()
+	receiver, sender = listen(t), listen(t)
+	got = make(chan string, 10)
 	gossiper.Handle(receiver, "M", stamp, func(m message, _ string) { got <- m.Text })
 	ctx, cancel := context.WithCancel(t.Context())
 	end := make(chan error)
 	go func() { end <- receiver.Run(ctx) }()
+	return receiver, sender, got, func() {
+		cancel()
+		assert.ErrorIs(t, <-end, context.Canceled)
+	}
+}
+
+// TestOldMessagesAreDropped guards against a late datagram that replaces newer knowledge, against a restarted sender
+// that is ignored, and against a datagram of garbage that ends the reception.
+func TestOldMessagesAreDropped(t *testing.T) {
+	receiver, sender, got, stop := exchange(t)
 	to := receiver.Address()
 	raw, err := net.Dial("udp4", to)
 	assert.NilError(t, err)
@@ -56,19 +66,13 @@
 	send("a", 1, "late")
 	send("b", 1, "restarted")
 	assert.Equal(t, receive(t, got), "restarted")
-	cancel()
-	assert.ErrorIs(t, <-end, context.Canceled)
+	stop()
 }
 
 // TestMessagesShrink guards against datagrams as large as their JSON, and against plain ones that are not understood:
 // processes of an earlier build send them.
 func TestMessagesShrink(t *testing.T) {
-	receiver, sender := listen(t), listen(t)
-	got := make(chan string, 10)
-	gossiper.Handle(receiver, "M", stamp, func(m message, _ string) { got <- m.Text })
-	ctx, cancel := context.WithCancel(t.Context())
-	end := make(chan error)
-	go func() { end <- receiver.Run(ctx) }()
+	receiver, sender, got, stop := exchange(t)
 	raw, err := net.Dial("udp4", receiver.Address())
 	assert.NilError(t, err)
 	_, err = raw.Write([]byte(`{"Kind":"M","Body":{"Boot":"a","Sequence":1,"Text":"plain"}}`))
@@ -91,8 +95,7 @@
 	plain, err := json.Marshal(state)
 	assert.NilError(t, err)
 	assert.Assert(t, n < len(plain)/2, "%d bytes for %d of JSON", n, len(plain))
-	cancel()
-	assert.ErrorIs(t, <-end, context.Canceled)
+	stop()
 }
 
 // FuzzReceive searches for datagrams that end the reception or the process.
@@ -105,12 +108,7 @@
 		if len(packet) > 1400 {
 			return
 		}
-		receiver, sender := listen(t), listen(t)
-		got := make(chan string, 10)
-		gossiper.Handle(receiver, "M", stamp, func(m message, _ string) { got <- m.Text })
-		ctx, cancel := context.WithCancel(t.Context())
-		end := make(chan error)
-		go func() { end <- receiver.Run(ctx) }()
+		receiver, sender, got, stop := exchange(t)
 		raw, err := net.Dial("udp4", receiver.Address())
 		assert.NilError(t, err)
 		_, err = raw.Write(packet)
@@ -119,8 +117,7 @@
 		for after := ""; after != "after"; after = receive(t, got) {
 			sender.Send("M", message{Boot: "after", Sequence: sender.Next().Sequence, Text: "after"}, receiver.Address())
 		}
-		cancel()
-		assert.ErrorIs(t, <-end, context.Canceled)
+		stop()
 	})
 }
 
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -95,6 +95,15 @@
 	Rejected
 )
 
+// String names the result for logs.
+func (r Result) String() string {
+	names := [...]string{"none", "accepted", "conflict", "fenced", "rejected"}
+	if r < 0 || int(r) >= len(names) {
+		return "invalid"
+	}
+	return names[r]
+}
+
 // Engine is the model engine on this VM.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
@@ -389,7 +398,7 @@
 	result, err := o.config.Engine.Order(callCtx, order)
 	d := demands[step.Adapter]
 	o.config.Log.Info().Str("Adapter", step.Adapter.Model+"/"+step.Adapter.Name).Int64("Version", step.Version).
-		Bool("Load", step.IsLoad).Int("Models", len(report.Models)).Int("Held", len(report.Resident)).Int("Coming", len(report.Loading)).Int64("Expected", report.Sequence).Int64("Fence", o.fence).Int("Result", int(result)).
+		Bool("Load", step.IsLoad).Int("Models", len(report.Models)).Int("Held", len(report.Resident)).Int("Coming", len(report.Loading)).Int64("Expected", report.Sequence).Int64("Fence", o.fence).Stringer("Result", result).
 		Int("Waiting", d.Waiting).Float64("Weight", d.Weight).AnErr("Error", err).Msg("orderer: order given")
 	if err != nil {
 		return false
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"geraniumladder/pkg/placer"
 )
 
 // Kind says what may be repeated of a route's requests.
@@ -82,8 +84,7 @@
 	}
 	h := fnv.New64a()
 	h.Write([]byte(requestID))
-	// The upper bits of FNV vary little between short texts, so they are mixed before use.
-	at := float64(Mix(h.Sum64())>>11) / (1 << 53) * total
+	at := float64(placer.Mix(h.Sum64())>>11) / (1 << 53) * total
 	for _, t := range r.Targets {
 		if at < t.Weight {
 			return t.Service
@@ -93,15 +94,6 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// Mix spreads the bits of a hash evenly.
-func Mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
 // Service is a set of interchangeable endpoints.
 type Service struct {
 	Name string
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -109,11 +109,10 @@
 		}
 	}
 	for name, o := range organisations {
-		c := s.limit(o)
 		if t, ok := s.tallies[name]; ok {
-			s.tallies[name] = t.WithConfig(c, now)
+			s.tallies[name] = t.WithConfig(s.limit(o), now)
 		} else {
-			s.tallies[name] = limiter.NewTally(c, now).WithGroup(s.group, s.members, now)
+			s.tallies[name] = s.newTally(o)
 		}
 	}
 }
@@ -131,6 +130,11 @@
 	return limiter.TallyConfig{Rate: o.Rate, Burst: o.Burst, Allowance: s.config.Allowance}
 }
 
+func (s *Sharer) newTally(o *registrar.Organisation) limiter.Tally {
+	now := s.elapsed()
+	return limiter.NewTally(s.limit(o), now).WithGroup(s.group, s.members, now)
+}
+
 // Admit takes tokens of the organisation's limit.
 func (s *Sharer) Admit(o *registrar.Organisation, tokens float64) (bool, time.Duration) {
 	s.mu.Lock()
@@ -138,7 +142,7 @@
 	now := s.elapsed()
 	t, ok := s.tallies[o.Name]
 	if !ok {
-		t = limiter.NewTally(s.limit(o), now).WithGroup(s.group, s.members, now)
+		t = s.newTally(o)
 	}
 	t, admitted, after := t.Admit(tokens, now)
 	s.tallies[o.Name] = t
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -299,12 +299,12 @@
 
 // rendezvous is -weight / ln(u) for u uniform in (0,1) by adapter and endpoint.
 func rendezvous(key uint64, e *endpoint) float64 {
-	u := (float64(mix(key^e.key)>>11) + 0.5) / (1 << 53)
+	u := (float64(Mix(key^e.key)>>11) + 0.5) / (1 << 53)
 	return -e.weight / math.Log(u)
 }
 
-// mix spreads the bits of a hash (the finaliser of SplitMix64).
-func mix(x uint64) uint64 {
+// Mix spreads the bits of a hash (the finaliser of SplitMix64). The upper bits of FNV vary little between short texts.
+func Mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
--- a/pkg/placer/view.go
+++ b/pkg/placer/view.go
@@ -366,7 +366,7 @@
 	e.Resident, e.resident = without(e.Resident, name), without(e.resident, key)
 }
 
-func prefixKey(r Request) uint64 { return mix(hashName(r.PrefixHash) ^ mix(hashName(r.Adapter))) }
+func prefixKey(r Request) uint64 { return Mix(hashName(r.PrefixHash) ^ Mix(hashName(r.Adapter))) }
 
 // hasPrefix reports whether this entry has lately sent a request with the same adapter and prefix. Adapters share no
 // cached prefix, because cached attention states depend on the adapter.
