--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -9,9 +9,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -19,7 +17,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
 	"geraniumladder/internal/messenger"
@@ -493,49 +490,6 @@
 	}
 }
 
-// Permit is a slot of the fleet-wide load budget.
-type Permit struct {
-	// ID names the permit in the message to the sidecar.
-	ID     string
-	lender *Lender
-	id     string
-}
-
-// Permit waits for a slot and a token of the load budget until ctx ends.
-func (l *Lender) Permit(ctx context.Context) (*Permit, error) {
-	id, refusal := l.admit(ctx, loads, 1)
-	if refusal != nil {
-		return nil, errors.Wrap(ctx.Err(), "no adapter load is permitted in time; "+
-			"raise LoadRate or LoadsInFlight if the weight store can bear it")
-	}
-	return &Permit{ID: l.self + "/" + id, lender: l, id: id}, nil
-}
-
-// Release frees the slot. The token of the rate stays spent.
-func (p *Permit) Release() {
-	l := p.lender
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	delete(l.inUse, p.id)
-	a := l.accounts[loads]
-	now := l.now()
-	a.Account, _ = a.Settle(p.id, 1, 1, now)
-	l.settleEpoch(now)
-	l.serve(a, loads, now)
-}
-
-// slotFree says whether this entry's share of the slots has room. The mutex is held.
-func (l *Lender) slotFree(now time.Duration) bool {
-	maps.DeleteFunc(l.inUse, func(_ string, end time.Duration) bool { return end <= now })
-	return len(l.inUse) < l.slots()
-}
-
-// slots is this entry's share of the loads in flight, rounded down so that the shares never sum to more.
-func (l *Lender) slots() int {
-	num, den := l.share()
-	return l.config.LoadsInFlight * num / den
-}
-
 // share is the share in force. The mutex is held.
 func (l *Lender) share() (num, den int) {
 	if l.left {
@@ -544,125 +498,6 @@
 	return l.epoch.Share()
 }
 
-// borrow starts the goroutine that borrows for the organisation, if it is needed and does not run yet.
-// The mutex is held.
-func (l *Lender) borrow(a *account, organisation string, now time.Duration) {
-	if a.running {
-		wake(a)
-		return
-	}
-	if len(a.waiters) == 0 && len(a.Plan(nil, now)) == 0 {
-		return
-	}
-	a.running = l.spawn(func(ctx context.Context) { l.borrowing(ctx, a, organisation) })
-}
-
-// borrowing serves the waiting requests of one organisation, and asks for loans, until none is needed.
-func (l *Lender) borrowing(ctx context.Context, a *account, organisation string) {
-	pause := time.NewTimer(roundPause)
-	defer pause.Stop()
-	for {
-		l.mutex.Lock()
-		now := l.now()
-		l.serve(a, organisation, now)
-		needs := make([]float64, len(a.waiters))
-		for i, w := range a.waiters {
-			needs[i] = w.tokens
-		}
-		asks := a.Plan(needs, now)
-		if l.leaving || organisation == loads && !l.slotFree(now) {
-			asks = nil
-		}
-		if ctx.Err() != nil || len(needs) == 0 && len(asks) == 0 {
-			a.running = false
-			l.mutex.Unlock()
-			return
-		}
-		for _, ask := range asks {
-			l.ask(a, organisation, ask, now)
-		}
-		l.mutex.Unlock()
-		pause.Reset(roundPause)
-		select {
-		case <-a.changed:
-		case <-pause.C:
-		case <-ctx.Done():
-		}
-	}
-}
-
-// ask sends one request for a loan. The mutex is held.
-func (l *Lender) ask(a *account, organisation string, ask limiter.Ask, now time.Duration) {
-	id := uuid.NewString()
-	a.Account = a.WithAsked(id, ask.Lender, now)
-	select {
-	case l.borrowed <- struct{}{}:
-	default:
-	}
-	life := l.config.Policy.GrantLife
-	request := wire.LendRequest{
-		GrantID: id, Borrower: l.self, Organisation: organisation, Tokens: ask.Tokens,
-		LifeMs: life.Milliseconds(), Epoch: l.epoch.Number(),
-	}
-	l.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, life)
-		defer cancel()
-		var reply wire.LendReply
-		err := l.config.Messenger.Call(ctx, ask.Lender, lendPath, request, &reply)
-		l.mutex.Lock()
-		defer l.mutex.Unlock()
-		now := l.now()
-		if err != nil {
-			var reports []limiter.Report
-			a.Account, reports = a.WithFailed(id, now)
-			l.send(organisation, reports)
-			l.config.Log.Debug().Err(err).Str("Peer", ask.Lender).Msg("entry: peer did not answer a request for a loan")
-			return
-		}
-		var reports []limiter.Report
-		a.Account, reports = a.WithAnswer(id, reply.Tokens, reply.Level, now)
-		l.send(organisation, reports)
-		l.serve(a, organisation, l.now())
-		wake(a)
-		if reply.Epoch > l.epoch.Number() {
-			l.wantRow()
-		}
-	})
-}
-
-// send delivers reports to lenders. The mutex is held.
-func (l *Lender) send(organisation string, reports []limiter.Report) {
-	for _, r := range reports {
-		request := wire.RepayRequest{GrantID: r.Grant, Organisation: organisation, Spent: r.Spent, Borrower: l.self}
-		l.spawn(func(ctx context.Context) { l.repay(ctx, r.Lender, request) })
-	}
-}
-
-func (l *Lender) repay(ctx context.Context, lender string, request wire.RepayRequest) {
-	for range repayAttempts {
-		attempt, cancel := context.WithTimeout(ctx, l.config.Policy.GrantLife/repayAttempts)
-		err := l.config.Messenger.Call(attempt, lender, repayPath, request, nil)
-		cancel()
-		if err == nil {
-			return
-		}
-		if !pause(ctx, roundPause) {
-			return
-		}
-	}
-}
-
-// report closes the grants of an account that are not needed, all of them on request. The mutex is held.
-func (l *Lender) report(a *account, organisation string, all bool) {
-	var reports []limiter.Report
-	if all {
-		a.Account, reports = a.CloseAll()
-	} else {
-		a.Account, reports = a.Tidy(len(a.waiters) > 0, l.now())
-	}
-	l.send(organisation, reports)
-}
-
 // tidy closes grants that are spent, ended or not needed, and says whether others are open.
 func (l *Lender) tidy() (open bool) {
 	l.mutex.Lock()
@@ -674,146 +509,6 @@
 	return open
 }
 
-// settleEpoch puts the share that the epoch allows in force, and acknowledges the epoch once every bucket and the
-// load permits in use fit it. The mutex is held.
-func (l *Lender) settleEpoch(now time.Duration) {
-	before, beforeDen := l.share()
-	l.epoch = l.epoch.Advance(now)
-	num, den := l.share()
-	fits := true
-	for _, a := range l.accounts {
-		a.Account = a.WithShare(num, den, now)
-		fits = fits && a.Bucket().Over() == 0
-	}
-	l.slotFree(now)
-	if fits && len(l.inUse) <= l.slots() {
-		l.epoch = l.epoch.WithTaken()
-	}
-	if num*beforeDen != before*den {
-		l.config.Log.Info().Int64("Epoch", l.epoch.Number()).Int("Numerator", num).Int("Denominator", den).Msg("entry: share of the limits changed")
-	}
-}
-
-// learn adopts an epoch row if it is newer. The mutex is held.
-func (l *Lender) learn(row wire.EpochRow, now time.Duration) {
-	if row.Epoch <= l.epoch.Number() {
-		return
-	}
-	l.row = row
-	names := make([]string, len(row.Members))
-	for i, m := range row.Members {
-		names[i] = name(m)
-		l.meet(m.Address, now)
-	}
-	l.epoch = l.epoch.WithEpoch(row.Epoch, names, now)
-	l.settleEpoch(now)
-}
-
-// followEpoch reads the epoch row every few seconds and writes it when this entry is not a member, or has proof
-// that a member has ended.
-func (l *Lender) followEpoch(ctx context.Context) {
-	for {
-		wait := epochEvery
-		if err := l.updateEpoch(ctx); err != nil {
-			if storer.IsKind(err, storer.Conflict) {
-				// Entries that start together would otherwise collide again and again.
-				wait = conflictPause + time.Duration(uuid.New().ID()%uint32(conflictPause.Milliseconds()))*time.Millisecond
-			} else if ctx.Err() == nil {
-				l.config.Log.Warn().Err(err).Msg("entry: epoch row not read or written")
-			}
-		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-l.readRow:
-			timer.Stop()
-		case <-timer.C:
-		}
-	}
-}
-
-// wantRow asks for a read of the epoch row.
-func (l *Lender) wantRow() {
-	select {
-	case l.readRow <- struct{}{}:
-	default:
-	}
-}
-
-// updateEpoch reads the row, and writes it if its members are to change.
-func (l *Lender) updateEpoch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storer.DefaultCallTimeout)
-	defer cancel()
-	stored, err := l.config.Table.Get(ctx, epochPk, epochSk)
-	if storer.IsKind(err, storer.NotFound) {
-		stored, err = storer.Row{Pk: epochPk, Sk: epochSk}, nil
-	}
-	if err != nil {
-		return errors.Wrap(err, "read the epoch row")
-	}
-	var row wire.EpochRow
-	if len(stored.Data) > 0 {
-		if err := json.Unmarshal(stored.Data, &row); err != nil {
-			return errors.Wrap(err, "decode the epoch row; another version of the program may have written it")
-		}
-	}
-	l.mutex.Lock()
-	l.learn(row, l.now())
-	members := l.successors(row)
-	l.mutex.Unlock()
-	if slices.Equal(members, row.Members) {
-		return nil
-	}
-	row = wire.EpochRow{Epoch: row.Epoch + 1, Members: members}
-	data, err := json.Marshal(row)
-	if err != nil {
-		return errors.Wrap(err, "encode the epoch row")
-	}
-	mark := uuid.NewString()
-	err = l.config.Table.Put(ctx, storer.Row{Pk: epochPk, Sk: epochSk, Data: data, Mark: mark}, stored.Version)
-	if storer.IsKind(err, storer.Unavailable) {
-		// The answer may have been lost after the write took effect.
-		if back, readErr := l.config.Table.Get(ctx, epochPk, epochSk); readErr == nil && back.Mark == mark {
-			err = nil
-		}
-	}
-	if err != nil {
-		return errors.Wrap(err, "write the epoch row")
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.learn(row, l.now())
-	l.config.Log.Info().Int64("Epoch", row.Epoch).Int("Members", len(members)).Msg("entry: epoch changed")
-	return nil
-}
-
-// successors returns the members after row: without those that are proven to have ended, and with this entry
-// unless it leaves. The mutex is held.
-func (l *Lender) successors(row wire.EpochRow) []wire.EntryMember {
-	var members []wire.EntryMember
-	member := false
-	for _, m := range row.Members {
-		switch {
-		case m == l.config.Self:
-			// A planned stop leaves only when Leave has settled the grants.
-			member = true
-			if !l.left {
-				members = append(members, m)
-			}
-		case m.VM == l.config.Self.VM, l.missing[m.VM] >= goneLists:
-			l.epoch = l.epoch.WithDead(name(m))
-		default:
-			members = append(members, m)
-		}
-	}
-	if !member && l.selfListed && !l.leaving && l.config.State() != string(wire.EntryExchangeStateLeaving) {
-		members = append(members, l.config.Self)
-	}
-	return members
-}
-
 // pause waits for d and says whether ctx is still open.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- /dev/null
+++ b/internal/router/end.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"cmp"
+	"net/http"
+)
+
+// refuse answers a request that was not forwarded.
+func (r *Router) refuse(w http.ResponseWriter, req *http.Request, cl *call, failure *callError) {
+	organisation := ""
+	if cl != nil {
+		organisation = cl.organisation.Name
+	}
+	r.count(organisation, failure)
+	failure.write(w, requestID(req))
+}
+
+// finish counts the end of a call and answers a failure, unless the answer has begun.
+func (r *Router) finish(w http.ResponseWriter, req *http.Request, cl *call, started bool, failure *callError) {
+	r.logEnd(cl, failure)
+	if failure == nil {
+		r.config.Meter.Request(cl.organisation.Name, "ok")
+		return
+	}
+	if started {
+		r.count(cl.organisation.Name, failure)
+		return
+	}
+	r.refuse(w, req, cl, failure)
+}
+
+// count counts a call that was refused or has failed.
+func (r *Router) count(organisation string, failure *callError) {
+	r.config.Meter.Refusal(organisation, cmp.Or(failure.reason, failure.code))
+	r.config.Meter.Request(organisation, string(failure.outcome))
+}
+
+// logEnd logs one line for each admitted or refused call, without key and prompt.
+func (r *Router) logEnd(cl *call, failure *callError) {
+	line := r.log.Debug()
+	if !line.Enabled() {
+		return
+	}
+	kind, outcome, answer := cl.method, "ok", 0
+	if cl.model != nil {
+		kind, answer = "Completion", cl.model.received
+		line = line.Bool("Stream", cl.model.stream)
+	}
+	if failure != nil {
+		outcome = string(failure.outcome)
+		line = line.Str("Code", failure.code)
+	}
+	line.Str("RequestId", cl.id).Int64("ArrivedMs", cl.arrived.UnixMilli()).Str("Kind", kind).
+		Str("Organisation", cl.organisation.Name).Str("Route", cl.route.Name).Bool("Repeatable", cl.repeatable).
+		Int("PromptTokens", cl.promptTokens).Int("AnswerTokens", answer).Int("MaxTokens", cl.answerTokens).
+		Str("Outcome", outcome).Msg(requestEnded)
+}
--- /dev/null
+++ b/internal/router/once.go
@@ -0,0 +1,147 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"geraniumladder/internal/dispatcher"
+	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/claimer"
+)
+
+// runOnce runs a call that may not be repeated. claim is nil without an idempotency key; else it is told of
+// each assignment before the call is sent, and may refuse it.
+func (r *Router) runOnce(ctx context.Context, cl *call, sink *serviceSink, claim func(d dispatch) *callError) *callError {
+	var h history
+	for attempt := 1; ; attempt++ {
+		endpoint, decision, failure := r.choose(ctx, cl, &h)
+		if failure != nil {
+			return failure
+		}
+		cl.dispatches++
+		d := dispatch{endpoint: endpoint, decision: decision, attempt: attempt, runID: runID(cl)}
+		if claim != nil {
+			if failure := claim(d); failure != nil {
+				r.done(cl, d, false)
+				return failure
+			}
+		}
+		// A call that has started is not interrupted by the withdrawal of its key, but it must not start after it.
+		if r.isWithdrawn(cl) {
+			r.done(cl, d, false)
+			return errWithdrawnBefore
+		}
+		res := r.sendOnce(ctx, cl, &d, sink)
+		r.done(cl, d, res == nil)
+		if res == nil {
+			return nil
+		}
+		outcome, failure := r.settle(ctx, cl, d, *res, sink)
+		if failure != nil || outcome != notRun {
+			return failure
+		}
+		if res.refused != nil && res.refused.Code == wire.RunErrorCodeVoided {
+			return errVoided
+		}
+		// Each dispatch that led here has provably not run, so the history stays at not-run.
+		if failure := r.consider(ctx, cl, &h, d, *res); failure != nil {
+			return failure
+		}
+	}
+}
+
+// runID names the next dispatch of a call that may not be repeated. A sidecar that has refused a dispatch remembers its
+// ID as void, so a later dispatch to the same sidecar needs another ID. Each dispatch before has provably not run.
+func runID(cl *call) string {
+	if cl.dispatches == 1 {
+		return cl.id
+	}
+	return fmt.Sprintf("%s-%d", cl.id, cl.dispatches)
+}
+
+func (r *Router) sendOnce(ctx context.Context, cl *call, d *dispatch, sink *serviceSink) *result {
+	resp, res := r.send(ctx, cl, d, cl.body) //nolint:bodyclose // readService closes it.
+	if resp != nil {
+		res = r.readService(resp, cl, d, sink)
+	}
+	return res
+}
+
+// settle finds out what became of a call that did not bring its whole answer. notRun means that it provably never runs
+// at this sidecar, so that it may go elsewhere.
+func (r *Router) settle(ctx context.Context, cl *call, d dispatch, res result, sink *serviceSink) (claimer.Outcome, *callError) {
+	if res.failure != nil {
+		return notRun, res.failure
+	}
+	known := claimer.Known{Sent: sentOf(res)}
+	if known.Sent == claimer.Broken && res.refused == nil {
+		known.Void = r.void(ctx, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl))
+	}
+	if known.Void == claimer.VoidRunning || known.Void == claimer.VoidDone {
+		resp, again := r.join(ctx, d.endpoint.Address, d.endpoint.Incarnation, d.key(cl), sink.bytes) //nolint:bodyclose // readService closes it.
+		if resp != nil {
+			again = r.readService(resp, cl, &d, sink)
+		}
+		if again == nil {
+			return ran, nil
+		}
+		if again.refused != nil {
+			known.Sent = sentOf(*again)
+		}
+	}
+	switch outcome := claimer.AfterError(known); outcome {
+	case notRun:
+		return notRun, nil
+	case ran:
+		return ran, failed(http.StatusBadGateway, ran, "call_failed", "the call ran but its answer was lost; read the state of the call before repeating it")
+	default:
+		status := http.StatusBadGateway
+		if ctx.Err() != nil {
+			status = http.StatusGatewayTimeout
+		}
+		return unknown, failed(status, unknown, "outcome_unknown",
+			"it is not known whether the call ran; read its state, or ask the operators to settle it, before repeating it")
+	}
+}
+
+func sentOf(res result) claimer.Sent {
+	switch {
+	case res.neverOpened:
+		return claimer.NeverOpened
+	case res.refused == nil:
+		return claimer.Broken
+	case res.refused.Outcome == wire.RunErrorOutcomeNotRun:
+		return claimer.Refused
+	case res.refused.Outcome == wire.RunErrorOutcomeRan:
+		return claimer.Failed
+	default:
+		return claimer.Broken
+	}
+}
+
+// void asks a sidecar to promise that a request never starts there. It is asked twice, the second time on a new
+// connection if the first was silent.
+func (r *Router) void(ctx context.Context, address, incarnation, key string) claimer.VoidAnswer {
+	for range 2 {
+		var reply wire.VoidReply
+		// The answer is wanted even if the caller has gone, so that the claim tells the truth.
+		attempt, cancel := context.WithTimeout(context.WithoutCancel(ctx), voidTimeout)
+		err := r.config.Messenger.Call(attempt, address, dispatcher.VoidPath, wire.VoidRequest{RequestID: key, Incarnation: incarnation}, &reply)
+		cancel()
+		if err != nil {
+			continue
+		}
+		switch reply.State {
+		case wire.VoidReplyStateNotStarted:
+			return claimer.VoidNotStarted
+		case wire.VoidReplyStateRunning:
+			return claimer.VoidRunning
+		case wire.VoidReplyStateDone:
+			return claimer.VoidDone
+		default:
+			return claimer.VoidWrongIncarnation
+		}
+	}
+	return claimer.VoidNoAnswer
+}
--- /dev/null
+++ b/internal/router/parse.go
@@ -0,0 +1,137 @@
+package router
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+)
+
+// tokensOf counts a text's tokens for limits and queues: one for each four bytes begun, and one. The engine's own count
+// is not known before it has run.
+func tokensOf(bytes int) int { return (bytes+3)/4 + 1 }
+
+// modelRequest is the parsed body of a completion request.
+type modelRequest struct {
+	fields map[string]json.RawMessage
+	route  string
+	chat   bool
+	stream bool
+	// wantsUsage says that a streaming caller asked for a usage event.
+	wantsUsage bool
+	// plain says that the request has a single text choice, so that its stream can be continued elsewhere and
+	// aggregated for a caller who did not ask for a stream.
+	plain        bool
+	prompt       string
+	messages     []json.RawMessage
+	maxTokens    int
+	promptTokens int
+	// received counts the tokens of the answer so far.
+	received int
+}
+
+// parseModelRequest checks the body of a completion request.
+func parseModelRequest(body []byte, chat bool, maxAnswer int) (*modelRequest, *callError) {
+	m := &modelRequest{chat: chat, maxTokens: maxAnswer, plain: true}
+	if err := json.Unmarshal(body, &m.fields); err != nil {
+		return nil, invalid(http.StatusBadRequest, "bad_json", "the body is not a JSON object: %v; correct it", err)
+	}
+	var failure *callError
+	read := func(name string, into any) bool {
+		raw, given := m.fields[name]
+		if !given || bytes.Equal(raw, []byte("null")) || failure != nil {
+			return false
+		}
+		if err := json.Unmarshal(raw, into); err != nil {
+			failure = invalid(http.StatusBadRequest, "bad_field", "the field %q has the wrong type; see docs/callers.md", name)
+			return false
+		}
+		return true
+	}
+	if !read("model", &m.route) && failure == nil {
+		return nil, invalid(http.StatusBadRequest, "no_model", "the field \"model\" is missing; name a route listed by GET /v1/models")
+	}
+	read("stream", &m.stream)
+	var options struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	read("stream_options", &options)
+	m.wantsUsage = options.IncludeUsage
+	read("max_tokens", &m.maxTokens)
+	read("max_completion_tokens", &m.maxTokens)
+	n := 1
+	read("n", &n)
+	for _, name := range []string{"best_of", "logprobs", "top_logprobs", "echo", "tools", "functions", "suffix"} {
+		if raw, given := m.fields[name]; given && !bytes.Equal(raw, []byte("null")) && !bytes.Equal(raw, []byte("false")) {
+			m.plain = false
+		}
+	}
+	m.plain = m.plain && n == 1
+	if chat {
+		if !read("messages", &m.messages) && failure == nil {
+			failure = invalid(http.StatusBadRequest, "no_messages", "the field \"messages\" is missing; send a list of messages")
+		}
+	} else if !read("prompt", &m.prompt) && failure == nil {
+		failure = invalid(http.StatusBadRequest, "no_prompt", "the field \"prompt\" is missing; send a text")
+	}
+	if failure == nil && (m.maxTokens < 1 || n < 1) {
+		failure = invalid(http.StatusBadRequest, "bad_max_tokens", "\"max_tokens\" and \"n\" must be at least 1")
+	}
+	if failure != nil {
+		return nil, failure
+	}
+	m.promptTokens = tokensOf(len(m.prompt))
+	for _, message := range m.messages {
+		m.promptTokens += tokensOf(len(message))
+	}
+	m.maxTokens *= n
+	return m, nil
+}
+
+// prefix names the start of the prompt, which an engine may have in its prefix cache.
+func (m *modelRequest) prefix() (hash string, tokens int) {
+	start := []byte(m.prompt)
+	if m.chat && len(m.messages) > 0 {
+		start = m.messages[0]
+	}
+	if len(start) < prefixBytes/4 {
+		return "", 0
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(start[:min(len(start), prefixBytes)])
+	return fmt.Sprintf("%016x", h.Sum64()), tokensOf(len(start))
+}
+
+// engineBody is the body for the engine: always a stream, on the adapter version, from the text already sent on.
+func (m *modelRequest) engineBody(model string, priority int, sent string, sentTokens int) ([]byte, error) {
+	fields := make(map[string]any, len(m.fields)+6)
+	for name, raw := range m.fields {
+		fields[name] = raw
+	}
+	fields["model"], fields["stream"], fields["priority"] = model, true, priority
+	fields["stream_options"] = map[string]bool{"include_usage": true}
+	limit := "max_tokens"
+	if _, given := m.fields["max_completion_tokens"]; given {
+		limit = "max_completion_tokens"
+	}
+	n := 1
+	if raw, given := m.fields["n"]; given {
+		_ = json.Unmarshal(raw, &n)
+	}
+	fields[limit] = max(1, m.maxTokens/max(n, 1)-sentTokens)
+	if sent == "" {
+		return json.Marshal(fields)
+	}
+	if !m.chat {
+		fields["prompt"] = m.prompt + sent
+		return json.Marshal(fields)
+	}
+	partial, err := json.Marshal(map[string]string{"role": "assistant", "content": sent})
+	if err != nil {
+		return nil, err
+	}
+	fields["messages"] = append(append([]json.RawMessage(nil), m.messages...), partial)
+	fields["continue_final_message"], fields["add_generation_prompt"] = true, false
+	return json.Marshal(fields)
+}
