Reject requests that a process behind can't forward in time, and cut off answers without end

It learned of a caller's close as late as of anything else. http.ReadResponse limits no head, and an event without end grew the relay's buffer, so that one faulty endpoint could fill the memory.

Change: pkg/shedder, CoDel on the delay of the process itself, with a baseline that takes everything; the delay counts against the deadline; the caller's connection is looked at before each send. Heads are limited to 64 KiB and 100 lines and have 2 s from their first byte, events to 1 MiB, other answers to the operators' limit of bodies; bytes that complete no event are no progress.

The six cases of TestEndlessHeadIsRejected failed before.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -30,6 +31,13 @@
 	// endpoint closes the connection.
 	idleMargin     = 900 * time.Millisecond
 	readBufferSize = 4 << 10
+	// MaxHeadBytes and MaxHeadLines limit the status line and the header lines of one response, and maxInterimResponses
+	// the interim responses before it. A faulty endpoint may send them without end.
+	MaxHeadBytes        = 64 << 10
+	MaxHeadLines        = 100
+	maxInterimResponses = 8
+	// headTimeout bounds the time from the first byte of a response's head to the last.
+	headTimeout = 2 * time.Second
 )
 
 // Config configures a Pool. Zero values are replaced by defaults.
@@ -90,7 +98,9 @@
 	pool    *Pool
 	address string
 	net     net.Conn
-	reader  *bufio.Reader
+	// source is what reader reads from.
+	source *headLimiter
+	reader *bufio.Reader
 	// reusableUntil is the time up to which the endpoint is expected to keep the connection open.
 	reusableUntil time.Time
 	idleSince     time.Time
@@ -118,7 +128,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to the endpoint")
 	}
-	return &Conn{pool: p, address: address, net: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	source := &headLimiter{conn: conn}
+	return &Conn{pool: p, address: address, net: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
 }
 
 func (p *Pool) takeIdle(address string, maxIdleTime time.Duration) *Conn {
@@ -231,10 +242,37 @@
 	return errors.Wrap(err, "send the request")
 }
 
-// ReceiveResponse reads the status line and headers of a response. It skips interim (1xx) responses, except 101.
+// ErrHead means that the head of a response exceeds MaxHeadBytes, MaxHeadLines or the number of interim responses. The
+// connection must be closed.
+var ErrHead = errors.New("the response's head exceeds its limits; the endpoint is faulty")
+
+// headLimiter is the reading side of a connection. It limits the bytes that may be read while a head is parsed, because
+// http.ReadResponse has no limit of its own.
+type headLimiter struct {
+	conn net.Conn
+	// isLimited is set while a head is read, and left is then the number of bytes that may still be read.
+	isLimited bool
+	left      int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.isLimited {
+		return l.conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, ErrHead
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// ReceiveResponse reads the status line and headers of a response. It skips interim (1xx) responses, except 101. The
+// wait for the first byte of the response is not limited; the caller closes the connection when its time is over.
 func (c *Conn) ReceiveResponse(method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	for range maxInterimResponses + 1 {
+		response, err := c.receiveHead(method)
 		if err != nil {
 			return nil, errors.Wrap(err, "read the answer")
 		}
@@ -242,8 +280,38 @@
 			return response, nil
 		}
 	}
+	return nil, errors.Wrap(ErrHead, "read the answer")
+}
+
+func (c *Conn) receiveHead(method string) (*http.Response, error) {
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	c.source.isLimited, c.source.left = true, MaxHeadBytes-c.reader.Buffered()
+	defer func() { c.source.isLimited = false }()
+	// Most heads arrive in one piece and need no deadline.
+	if head, err := c.reader.Peek(c.reader.Buffered()); err == nil && !bytes.Contains(head, headEnd) {
+		if err := c.net.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
+			return nil, err
+		}
+		defer func() { _ = c.net.SetReadDeadline(time.Time{}) }()
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	lines := 0
+	for _, values := range response.Header {
+		lines += len(values)
+	}
+	if lines > MaxHeadLines {
+		return nil, ErrHead
+	}
+	return response, nil
 }
 
+var headEnd = []byte("\r\n\r\n")
+
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -187,3 +188,72 @@
 	assert.Equal(t, exchange(t, p, address, time.Minute), "1")
 	assert.Equal(t, exchange(t, p, address, time.Minute), "2")
 }
+
+// TestEndlessHeadIsRejected guards against an endpoint that sends a head without end, which would fill the memory, and
+// against one that sends its head so slowly that it never ends. Each is rejected although the endpoint goes on sending.
+func TestEndlessHeadIsRejected(t *testing.T) {
+	for name, send := range map[string]func(c net.Conn) error{
+		"status line": func(c net.Conn) error { return writeForever(c, "HTTP/1.1 200 ", "OOOOOOOOOOOOOOOOOOOOOOOO") },
+		"header":      func(c net.Conn) error { return writeForever(c, "HTTP/1.1 200 OK\r\nA: ", "aaaaaaaaaaaaaaaaaaaaaaaa") },
+		"headers":     func(c net.Conn) error { return writeForever(c, "HTTP/1.1 200 OK\r\n", "A: b\r\n") },
+		"lines": func(c net.Conn) error {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("A: b\r\n", connector.MaxHeadLines+1)+"Content-Length: 0\r\n\r\n")
+			return err
+		},
+		"interim": func(c net.Conn) error { return writeForever(c, "", "HTTP/1.1 100 Continue\r\n\r\n") },
+		"trickle": func(c net.Conn) error {
+			for {
+				if _, err := io.WriteString(c, "H"); err != nil {
+					return err
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan error, 1)
+			address := startServer(t, func(c net.Conn, _ int) {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					ended <- send(c)
+				}
+			})
+			conn, err := connector.New(connector.Config{}).Get(t.Context(), address, time.Second)
+			assert.NilError(t, err)
+			t.Cleanup(conn.Close)
+			assert.NilError(t, conn.Send(&connector.Request{Method: "GET", Target: "/", Host: "h"}))
+			failure := make(chan error, 1)
+			go func() {
+				//nolint:bodyclose // There is no response.
+				_, err := conn.ReceiveResponse("GET")
+				failure <- err
+			}()
+			select {
+			case err := <-failure:
+				assert.Assert(t, err != nil)
+			case <-time.After(time.Minute):
+				t.Fatal("the head was still being read after a minute")
+			}
+			conn.Close()
+			if err := <-ended; err != nil {
+				assert.Assert(t, !strings.Contains(err.Error(), "took everything"))
+			}
+		})
+	}
+}
+
+// maxForever bounds what writeForever writes, so that a reader without a limit fails the test and not the machine.
+const maxForever = 256 << 20
+
+func writeForever(c net.Conn, start, piece string) error {
+	if _, err := io.WriteString(c, start); err != nil {
+		return err
+	}
+	block := strings.Repeat(piece, 1+(32<<10)/len(piece))
+	for range maxForever / len(block) {
+		if _, err := io.WriteString(c, block); err != nil {
+			return err
+		}
+	}
+	return errors.New("the reader took everything")
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -25,8 +25,11 @@
 	loadRetryDelay = 50 * time.Millisecond
 	// demandResendInterval is the interval at which the demand is sent to the sidecar again, in case a datagram was lost.
 	demandResendInterval = 60 * time.Millisecond
-	// maxBufferedBody limits the body of a response that is buffered completely before it is forwarded.
-	maxBufferedBody = 8 << 20
+	// minAnswerBody is the least limit of a response body that is buffered completely before it is forwarded. The limit
+	// is otherwise that of the operators for request bodies.
+	minAnswerBody = 1 << 20
+	// maxEventBytes limits one event of a stream.
+	maxEventBytes = 1 << 20
 	// maxDiscardedBody limits how much of a rejection's body is read in order to reuse the connection.
 	maxDiscardedBody = 64 << 10
 	// unavailableRetryAfter is the Retry-After value when no endpoint has capacity.
@@ -210,6 +213,9 @@
 		// since the endpoint was selected.
 		return refuseUnavailable("timeout-waiting", 0), false
 	}
+	if hasCallerLeft(x.r) {
+		return refuseUnavailable(reasonCallerLeft, 0), false
+	}
 	x.sendCount++
 	a := x.attempt(key, conn)
 	f.addAttempt(e, a)
@@ -245,8 +251,8 @@
 		}
 		return x.relay(ctx, e, a, response, release, prefillDone)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
-	if err != nil || len(body) > maxBufferedBody {
+	body, err := x.readAnswer(response)
+	if err != nil {
 		return x.handleLost(ctx, e, "body", err)
 	}
 	if reuse = stop(); reuse {
@@ -255,6 +261,24 @@
 	return x.handleBuffered(e, &bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
 }
 
+// readAnswer reads a whole response body. A faulty endpoint may send one without end.
+func (x *exchange) readAnswer(response *http.Response) ([]byte, error) {
+	limit := max(x.configuration.Limits().BodyBytes, minAnswerBody)
+	if response.ContentLength > limit {
+		return nil, errAnswerTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errAnswerTooLarge
+	}
+	return body, err
+}
+
+var (
+	errAnswerTooLarge = errors.New("the response body exceeds its limit; raise the limit of bodies or correct the endpoint")
+	errEventTooLarge  = errors.New("an event of the stream exceeds its limit; correct the endpoint")
+)
+
 func (x *exchange) dispatch(e *endpoint, version int64) Dispatch {
 	d := Dispatch{
 		EndpointID: e.ID, Remaining: x.deadline.Sub(x.f.config.Now()), Organisation: x.organisationName(),
@@ -284,7 +308,7 @@
 		}
 		x.f.config.Log.Warn().Str("Request", x.call.ID).Str("AnswerTo", info.RequestID).
 			Msg("forwarder: response to another request discarded")
-		if !connector.Discard(response.Body, maxBufferedBody) {
+		if !connector.Discard(response.Body, minAnswerBody) {
 			break
 		}
 	}
@@ -387,13 +411,17 @@
 
 // next reads once from the endpoint and forwards the complete events.
 func (r *relayer) next() error {
+	if len(r.buffer) >= maxEventBytes {
+		return errEventTooLarge
+	}
 	if len(r.buffer) == cap(r.buffer) {
 		r.buffer = append(r.buffer, make([]byte, cap(r.buffer))...)[:len(r.buffer)]
 	}
 	n, err := r.response.Body.Read(r.buffer[len(r.buffer):cap(r.buffer)])
 	r.buffer = r.buffer[:len(r.buffer)+n]
-	r.a.recordProgress(r.x.f.config.Now())
 	if end := completeEventsLen(r.buffer); end > 0 {
+		// Bytes that complete no event are no progress: a faulty endpoint may send one now and then without end.
+		r.a.recordProgress(r.x.f.config.Now())
 		if failure := r.forwardEvents(r.buffer[:end]); failure != nil {
 			return failure
 		}
--- /dev/null
+++ b/internal/forwarder/delay.go
@@ -0,0 +1,97 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"syscall"
+	"time"
+
+	"geraniumladder/pkg/shedder"
+)
+
+// delayProbeInterval is the interval at which MeasureDelay measures the delay of the process.
+const delayProbeInterval = 40 * time.Millisecond
+
+// MeasureDelay measures, until ctx is cancelled, how long this process is behind: how much later than due a goroutine
+// runs that waits for its turn among those of the requests. ServeHTTP rejects requests while the delay stands.
+func (f *Forwarder) MeasureDelay(ctx context.Context) error {
+	timer := time.NewTimer(delayProbeInterval)
+	defer timer.Stop()
+	due := f.config.Now().Add(delayProbeInterval)
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		// An expired timer makes its goroutine the next one to run. Gosched puts it behind those that are ready.
+		runtime.Gosched()
+		now := f.config.Now()
+		f.RecordDelay(now.Sub(due))
+		timer.Reset(delayProbeInterval)
+		due = f.config.Now().Add(delayProbeInterval)
+	}
+}
+
+// RecordDelay records one measurement of the delay of the process.
+func (f *Forwarder) RecordDelay(delay time.Duration) {
+	delay = max(0, delay)
+	now := f.elapsed()
+	f.mu.Lock()
+	before := f.shedder.StandingDelay(now)
+	f.shedder = f.shedder.WithDelay(now, delay)
+	after := f.shedder.StandingDelay(now)
+	f.mu.Unlock()
+	f.config.Observer.Delay(delay)
+	if wasBehind, isBehind := before > shedder.DefaultTarget, after > shedder.DefaultTarget; wasBehind != isBehind {
+		f.config.Log.Info().Bool("IsBehind", isBehind).Dur("Delay", delay).Dur("Standing", after).Int64("Open", f.open.Load()).
+			Msg("forwarder: process fell behind or caught up")
+	}
+}
+
+func (f *Forwarder) elapsed() time.Duration { return f.config.Now().Sub(f.start) }
+
+// admitByDelay returns the delay of the process, and a refusal if the request can't be handled in time.
+func (f *Forwarder) admitByDelay(remaining time.Duration) (time.Duration, *Refusal) {
+	now := f.elapsed()
+	f.mu.Lock()
+	s := f.shedder
+	f.mu.Unlock()
+	if remaining <= 0 {
+		remaining = time.Minute
+	}
+	if ok, after := f.config.Shedding.Admit(s, now, remaining); !ok {
+		return s.Delay(now), refuseUnavailable("overloaded", after)
+	}
+	return s.Delay(now), nil
+}
+
+type callerConnKey struct{}
+
+// WithCallerConn is the ConnContext of the callers' http.Server. It lets a Forwarder look at the caller's connection.
+func WithCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
+// hasCallerLeft looks at the caller's connection itself. The server cancels the request's context when the caller closes
+// the connection, but in a process that is behind this can take as long as the delay.
+func hasCallerLeft(r *http.Request) bool {
+	conn, ok := r.Context().Value(callerConnKey{}).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	hasLeft := false
+	// Control, not Read, because the server itself is reading.
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, errno := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		hasLeft = errno == nil && n == 0 || errno == syscall.ECONNRESET
+	})
+	return err != nil || hasLeft
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"geraniumladder/internal/wire"
 	"geraniumladder/pkg/retrier"
 	"geraniumladder/pkg/selector"
+	"geraniumladder/pkg/shedder"
 )
 
 const (
@@ -57,6 +58,8 @@
 	Refusal(organisation, reason string)
 	Retry(organisation string)
 	FirstToken(organisation string, d time.Duration)
+	// Delay records by how much the process is behind.
+	Delay(d time.Duration)
 }
 
 // Config configures a Forwarder.
@@ -75,9 +78,11 @@
 	// EntryCount returns the number of entries, at least 1.
 	EntryCount func() int
 	Selector   selector.Config
-	Now        func() time.Time
-	Seed       uint64
-	Log        zerolog.Logger
+	// Shedding decides which requests are rejected while the process is behind; the default is shedder.Standing.
+	Shedding shedder.Policy
+	Now      func() time.Time
+	Seed     uint64
+	Log      zerolog.Logger
 }
 
 // Forwarder is an http.Handler for callers. It is safe for concurrent use.
@@ -93,6 +98,7 @@
 	mu           sync.Mutex
 	retryBudgets map[string]*retryBudget
 	rng          *rand.Rand
+	shedder      shedder.Shedder
 }
 
 // retryBudget is the retry budget of one service.
@@ -103,9 +109,12 @@
 // New returns a Forwarder without a configuration.
 func New(c Config) *Forwarder {
 	c.Selector = c.Selector.WithDefaults()
+	if c.Shedding == nil {
+		c.Shedding = shedder.Standing{}
+	}
 	f := &Forwarder{
 		config: c, fleet: newFleet(c.Domain, c.Now), start: c.Now(), retryBudgets: map[string]*retryBudget{},
-		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)),
+		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
 	f.SetRetry(c.Retry)
 	return f
@@ -214,10 +223,17 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	x := &exchange{f: f, w: w, r: r, arrivedAt: f.config.Now(), call: f.config.Translator.DecodeCall(r.Header)}
-	x.call.prefixHashes = prefixHashes(x.call.Parts)
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	delay, overload := f.admitByDelay(x.call.CallerTimeout)
+	if overload != nil {
+		x.refuse(overload)
+		return
+	}
+	// The request has waited for about as long as the process is behind.
+	x.arrivedAt = x.arrivedAt.Add(-delay)
+	x.call.prefixHashes = prefixHashes(x.call.Parts)
 	if refusal := x.prepare(); refusal != nil {
 		x.refuse(refusal)
 		return
@@ -318,8 +334,8 @@
 		x.f.config.Admitter.Refund(x.organisation, x.admittedTokens)
 	}
 	switch {
-	case x.r.Context().Err() != nil:
-		x.logOutcome("caller-left", 0)
+	case x.r.Context().Err() != nil, refusal.Reason == reasonCallerLeft:
+		x.logOutcome(reasonCallerLeft, 0)
 		panic(http.ErrAbortHandler)
 	case x.wroteHeader:
 		x.logOutcome("broken-off", 0)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -80,6 +80,7 @@
 func (observer) Refusal(string, string)           {}
 func (observer) Retry(string)                     {}
 func (observer) FirstToken(string, time.Duration) {}
+func (observer) Delay(time.Duration)              {}
 
 // endpoint is an HTTP endpoint whose responses a test writes to the raw connection.
 type endpoint struct {
@@ -214,7 +215,9 @@
 		list = append(list, e.registered("s"))
 	}
 	f.SetEndpoints(list)
-	server := httptest.NewServer(f)
+	server := httptest.NewUnstartedServer(f)
+	server.Config.ConnContext = forwarder.WithCallerConn
+	server.Start()
 	t.Cleanup(server.Close)
 	return &fixture{Forwarder: f, server: server, admitter: a}
 }
@@ -827,3 +830,144 @@
 	assert.Equal(t, f.send(t, "/again/", "").status, 502)
 	assert.Equal(t, a.count()+b.count(), 3)
 }
+
+// TestOverloadedEntryRejectsAtOnce guards against an entry that goes on accepting requests while it is seconds behind,
+// and against one that goes on rejecting after it has caught up.
+func TestOverloadedEntryRejectsAtOnce(t *testing.T) {
+	e := newEndpoint(t, "e", ok)
+	var clock atomic.Int64
+	start := time.Now()
+	f := newFixtureWith(t, translator{}, func() time.Time { return start.Add(time.Duration(clock.Load())) }, e)
+	measure := func(delay time.Duration) {
+		for range 10 {
+			clock.Add(int64(50 * time.Millisecond))
+			f.RecordDelay(delay)
+		}
+	}
+	measure(500 * time.Millisecond)
+	for _, path := range []string{"/once/", "/again/", "/stream/"} {
+		got := f.send(t, path, "")
+		assert.Equal(t, got.status, 503, path)
+		assert.Equal(t, got.header.Get("Retry-After"), "0.500", path)
+		assert.Assert(t, strings.Contains(got.body, `"IsNotRun":true`), got.body)
+	}
+	assert.Equal(t, e.count(), 0)
+	measure(time.Millisecond)
+	assert.Equal(t, f.send(t, "/once/", "").status, 200)
+}
+
+// TestDelayCountsAgainstTheDeadline guards against an entry that is behind and gives an endpoint the whole of the caller's
+// time, of which the request has already spent the delay in the entry's queue.
+func TestDelayCountsAgainstTheDeadline(t *testing.T) {
+	e := newEndpoint(t, "e", ok)
+	f := newFixture(t, e)
+	f.RecordDelay(90 * time.Millisecond)
+	assert.Equal(t, f.send(t, "/once/", "", "Patience", "3000").status, 200)
+	remaining, err := strconv.Atoi(e.requests[0].Header.Get("Remaining"))
+	assert.NilError(t, err)
+	assert.Assert(t, remaining <= 2910, remaining)
+}
+
+// deafContext hides the caller's departure from the request's context, as in an entry that is too far behind to see it.
+type deafContext struct{ context.Context }
+
+func (deafContext) Done() <-chan struct{} { return nil }
+func (deafContext) Err() error            { return nil }
+
+// leavingTranslator closes the caller's connection right before the request is sent to the endpoint.
+type leavingTranslator struct {
+	translator
+	leave func()
+}
+
+func (l leavingTranslator) EndpointHeader(caller http.Header, d forwarder.Dispatch) http.Header {
+	l.leave()
+	return l.translator.EndpointHeader(caller, d)
+}
+
+// TestRequestOfDepartedCallerIsNotSent guards against sending a request whose caller has closed its connection, although
+// the entry has not been told so yet.
+func TestRequestOfDepartedCallerIsNotSent(t *testing.T) {
+	e := newEndpoint(t, "e", ok)
+	var caller net.Conn
+	ended := make(chan struct{})
+	f := newFixtureWith(t, leavingTranslator{leave: func() {
+		_ = caller.Close()
+		time.Sleep(50 * time.Millisecond)
+	}}, longRunningClock(), e)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		f.ServeHTTP(w, r.WithContext(deafContext{r.Context()}))
+	}))
+	server.Config.ConnContext = forwarder.WithCallerConn
+	server.Start()
+	t.Cleanup(server.Close)
+	caller, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(caller, "POST /once/ HTTP/1.1\r\nHost: h\r\nKey: k\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	<-ended
+	assert.Equal(t, e.count(), 0)
+}
+
+// writeWithoutEnd writes the piece until the connection is closed, but not more than a reader with limits would take.
+func writeWithoutEnd(c net.Conn, written *atomic.Int64, piece string) bool {
+	block := []byte(strings.Repeat(piece, 1+(32<<10)/len(piece)))
+	for written.Load() < 64<<20 {
+		n, err := c.Write(block)
+		written.Add(int64(n))
+		if err != nil {
+			return false
+		}
+	}
+	return false
+}
+
+// TestEndlessAnswersAreCutOff guards against an endpoint that sends bytes without end, in the head, the body or an event,
+// which would fill the entry's memory.
+func TestEndlessAnswersAreCutOff(t *testing.T) {
+	for name, start := range map[string]string{
+		"head":             "HTTP/1.1 200 OK\r\nA: ",
+		"unframed body":    "HTTP/1.1 200 OK\r\n\r\n",
+		"declared body":    "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+		"event":            "HTTP/1.1 200 OK\r\n\r\ndata: ",
+		"chunk size":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+		"trailers":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+		"other's response": "HTTP/1.1 200 OK\r\nId: other\r\n\r\n",
+	} {
+		for _, path := range []string{"/once/", "/stream/"} {
+			var written atomic.Int64
+			e := newEndpoint(t, "e", func(c net.Conn, _ *http.Request, _ int) bool {
+				if _, err := io.WriteString(c, start); err != nil {
+					return false
+				}
+				return writeWithoutEnd(c, &written, "a")
+			})
+			f := newFixture(t, e)
+			got := f.send(t, path, "")
+			assert.Assert(t, got.err != nil || got.status == 502, "%s %s: %d", name, path, got.status)
+			assert.Assert(t, written.Load() < 32<<20, "%s %s: %d bytes were taken", name, path, written.Load())
+		}
+	}
+}
+
+// TestBytesAfterAnAnswerReachNobody guards against the bytes that an endpoint sends after a complete answer, at once or
+// late, becoming part of the next answer on the connection.
+func TestBytesAfterAnAnswerReachNobody(t *testing.T) {
+	for _, late := range []time.Duration{0, 50 * time.Millisecond} {
+		e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, n int) bool {
+			if !respond(c, r, 200, "", "answer "+strconv.Itoa(n)) {
+				return false
+			}
+			time.Sleep(late)
+			return respond(c, r, 200, "", "second copy")
+		})
+		f := newFixture(t, e)
+		for n := range 4 {
+			got := f.send(t, "/once/", "")
+			assert.Equal(t, got.status, 200)
+			assert.Equal(t, got.body, "answer "+strconv.Itoa(n+1))
+			time.Sleep(2 * late)
+		}
+	}
+}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// reasonCallerLeft ends a request whose caller has closed its connection. No response is written.
+const reasonCallerLeft = "caller-left"
+
 // maxRetryAfter bounds Retry-After, because the limit itself may have changed after a minute.
 const maxRetryAfter = time.Minute
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -44,6 +44,7 @@
 	betweenTokens metric.Float64Histogram
 	queueWait     metric.Float64Histogram
 	loadTime      metric.Float64Histogram
+	delay         metric.Float64Histogram
 	otelMeter     metric.Meter
 	// organisationOptions caches the measurement options of each organisation, which would otherwise be rebuilt for
 	// each token.
@@ -96,6 +97,7 @@
 	m.betweenTokens = histogram("geraniumladder.between.tokens", "Time between two tokens of an answer.", betweenTokensBuckets)
 	m.queueWait = histogram("geraniumladder.queue.wait", "Time in the queue of an endpoint.", firstTokenBuckets)
 	m.loadTime = histogram("geraniumladder.adapter.load", "Time of an adapter load.", firstTokenBuckets)
+	m.delay = histogram("geraniumladder.process.delay", "How far the process is behind, sampled.", betweenTokensBuckets)
 	return errors.Join(errs...)
 }
 
@@ -167,6 +169,9 @@
 	m.controlBytes.Add(context.Background(), int64(n), metric.WithAttributes(attribute.String("Direction", direction)))
 }
 
+// Delay records by how much the process is behind.
+func (m *Meter) Delay(d time.Duration) { m.delay.Record(context.Background(), d.Seconds()) }
+
 // FirstToken records the time from a request's arrival to its first token.
 func (m *Meter) FirstToken(organisation string, took time.Duration) {
 	m.firstToken.Record(context.Background(), took.Seconds(), m.optionsFor(organisation).record...)
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -338,6 +338,7 @@
 // Run serves until ctx is cancelled and then shuts down gracefully.
 func (e *Entry) Run(ctx context.Context) error {
 	callers := newServer(e.forwarder)
+	callers.ConnContext = forwarder.WithCallerConn
 	var group run.Group
 	for _, s := range []struct {
 		address string
@@ -353,7 +354,7 @@
 		}
 	}
 	addLoop(&group, func(ctx context.Context) error {
-		return looper.Run(ctx, e.gossiper.Run, e.operators.Run, e.endpoints.Run, e.exchangeState,
+		return looper.Run(ctx, e.gossiper.Run, e.operators.Run, e.endpoints.Run, e.exchangeState, e.forwarder.MeasureDelay,
 			looper.Every(demandInterval, func(context.Context) { e.sendDemand("") }),
 			looper.Every(changedDemandInterval, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands()) }),
 			looper.Every(forwarder.LivenessInterval, func(context.Context) { e.forwarder.CheckLiveness() }),
