Entries of a domain rely on one another's reads of the store's tables

Change: pkg/relayer, suppression as in RFC 6206 without election or lease: of the entries of a failure domain one reads and passes the changes on; a gap, or silence of at most twice the interval, makes an entry read by itself. The interval is a quarter of the time that the users allow. A read that may be old because the process was suspended is not passed on.

--- /dev/null
+++ b/internal/registrar/changes.go
@@ -0,0 +1,34 @@
+package registrar
+
+// Changes are the changes of a table from one version to another.
+type Changes struct {
+	// From is the version of the table to which the changes apply. Rows.Version is its version after them.
+	From int64
+	Rows Rows
+}
+
+// Split divides changes into parts that follow on one another, with values of about maxBytes each. The rows must be in
+// the order of their versions; those of one version stay together, because they were written together. If they are too
+// large for a part, the parts end before them and the last part follows on none, which makes the receivers read by
+// themselves.
+func (c Changes) Split(maxBytes int) []Changes {
+	var parts []Changes
+	part := Changes{From: c.From, Rows: Rows{Version: c.From}}
+	size := 0
+	for i, r := range c.Rows.Rows {
+		isNewVersion := i > 0 && r.Version != c.Rows.Rows[i-1].Version
+		if size > 0 && size+len(r.Value) > maxBytes && isNewVersion {
+			parts = append(parts, part)
+			part = Changes{From: part.Rows.Version, Rows: Rows{Version: part.Rows.Version}}
+			size = 0
+		}
+		part.Rows.Rows = append(part.Rows.Rows, r)
+		part.Rows.Version = max(part.Rows.Version, r.Version)
+		size += len(r.Value)
+		if size > 2*maxBytes {
+			return append(parts, Changes{From: c.Rows.Version, Rows: Rows{Version: c.Rows.Version}})
+		}
+	}
+	part.Rows.Version = max(part.Rows.Version, c.Rows.Version)
+	return append(parts, part)
+}
--- a/internal/registrar/follower.go
+++ b/internal/registrar/follower.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"geraniumladder/pkg/relayer"
 )
 
 // ErrHistoryLost means that the store no longer has all of the requested changes. The whole table must be read again.
@@ -65,8 +67,13 @@
 	RetainsAfterOutage bool
 	// OnChange is called with the table after each change.
 	OnChange func(Table)
-	Now      func() time.Time
-	Log      zerolog.Logger
+	// Name is the name of this process among those that follow the table. Relay, if not nil, passes changes that the store
+	// has just returned on to the others, which hand them to HandleRelayed. It is called only while SetRelayInterval has
+	// set an interval.
+	Name  string
+	Relay func(c Changes)
+	Now   func() time.Time
+	Log   zerolog.Logger
 }
 
 // Table is the content of a table as of a version. It is immutable.
@@ -80,9 +87,13 @@
 type Follower struct {
 	config FollowerConfig
 	pause  atomic.Int64
+	start  time.Time
+	// wake ends the wait for relayed reads.
+	wake chan struct{}
 
-	mu    sync.Mutex
-	table Table
+	mu      sync.Mutex
+	relayer relayer.Relayer
+	table   Table
 	// hasSnapshot is set once the whole table has been read, and cleared when the store's history is lost. The version
 	// cannot serve for this, because an empty store is at version 0.
 	hasSnapshot bool
@@ -96,7 +107,10 @@
 
 // NewFollower returns a Follower with an empty table. Run starts it.
 func NewFollower(c FollowerConfig) *Follower {
-	f := &Follower{config: c, retainedUntil: map[string]time.Time{}, lastSuccess: c.Now()}
+	f := &Follower{
+		config: c, start: c.Now(), wake: make(chan struct{}, 1), relayer: relayer.New(relayer.Config{Name: c.Name}),
+		retainedUntil: map[string]time.Time{}, lastSuccess: c.Now(),
+	}
 	f.SetPause(c.Pause)
 	return f
 }
@@ -104,30 +118,101 @@
 // SetPause changes the time between two reads.
 func (f *Follower) SetPause(pause time.Duration) { f.pause.Store(int64(pause)) }
 
+// SetRelayInterval makes processes rely on one another's reads: the one that reads does so at this interval, and the
+// others read only when no read has been relayed to them for up to twice that time. With 0 each process reads by itself.
+func (f *Follower) SetRelayInterval(interval time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayer = f.relayer.WithInterval(interval)
+}
+
+// HandleRelayed applies changes that the peer has read. Changes that don't follow on this copy make the follower read by
+// itself.
+func (f *Follower) HandleRelayed(peer string, c Changes) {
+	f.mu.Lock()
+	if !f.hasSnapshot || f.relayer.Interval() == 0 {
+		f.mu.Unlock()
+		return
+	}
+	if c.From > f.table.Version {
+		f.relayer = f.relayer.WithOwnRead()
+		f.mu.Unlock()
+		f.wakeRun()
+		return
+	}
+	f.relayer = f.relayer.WithRelayed(peer, f.config.Now().Sub(f.start))
+	f.mu.Unlock()
+	f.apply(c.Rows)
+}
+
+func (f *Follower) wakeRun() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// awaitTurn waits until this process has to read by itself.
+func (f *Follower) awaitTurn(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		wait := f.relayer.ReadIn(f.config.Now().Sub(f.start))
+		if wait == 0 || !f.hasSnapshot {
+			f.relayer = f.relayer.WithOwnRead()
+			f.mu.Unlock()
+			return
+		}
+		f.mu.Unlock()
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-f.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// pauses returns how long the store may hold a read open, and the time between two reads.
+func (f *Follower) pauses() (wait, pause time.Duration) {
+	f.mu.Lock()
+	interval := f.relayer.Interval()
+	f.mu.Unlock()
+	switch {
+	case interval == 0:
+		return f.config.Wait, time.Duration(f.pause.Load())
+	case f.config.Wait > 0:
+		return interval, 0
+	}
+	return 0, interval
+}
+
 // Run follows the table until ctx is cancelled.
 func (f *Follower) Run(ctx context.Context) error {
-	pause := minRetryDelay
+	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
-		err := f.poll(ctx)
+		f.awaitTurn(ctx)
+		wait, pause := f.pauses()
+		err := f.poll(ctx, wait)
 		switch {
 		case err == nil:
-			pause = minRetryDelay
-			sleep(ctx, time.Duration(f.pause.Load()))
+			retryDelay = minRetryDelay
+			sleep(ctx, pause)
 		case errors.Is(err, ErrHistoryLost):
 			f.config.Log.Warn().Str("Table", f.config.Table).Int64("Version", f.Table().Version).
 				Msg("registrar: change history lost, reading the whole table again")
 			f.invalidateSnapshot()
 		default:
 			f.recordFailure(err)
-			sleep(ctx, pause)
-			pause = min(2*pause, maxRetryDelay)
+			sleep(ctx, retryDelay)
+			retryDelay = min(2*retryDelay, maxRetryDelay)
 		}
 	}
 	return ctx.Err()
 }
 
 // poll reads the changes since the last read, or the whole table at first and after the history was lost.
-func (f *Follower) poll(ctx context.Context) error {
+func (f *Follower) poll(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
 	after := f.table.Version
 	needsSnapshot := !f.hasSnapshot
@@ -140,14 +225,27 @@
 		f.replace(rows, true)
 		return nil
 	}
-	rows, err := f.config.Source.ReadChanges(ctx, f.config.Table, after, f.config.Wait)
+	begin := f.config.Now()
+	rows, err := f.config.Source.ReadChanges(ctx, f.config.Table, after, wait)
 	if err != nil {
 		return err
 	}
 	f.apply(rows)
+	f.relay(after, rows, f.config.Now().Sub(begin)-wait)
 	return nil
 }
 
+// relay passes a read on to the other processes. A read that took much longer than it should is not passed on: this
+// process may have been suspended since the store returned it, and the others would take it for a recent one.
+func (f *Follower) relay(from int64, rows Rows, excess time.Duration) {
+	f.mu.Lock()
+	isRelaying := f.config.Relay != nil && f.relayer.Interval() > 0
+	f.mu.Unlock()
+	if isRelaying && excess < outageThreshold {
+		f.config.Relay(Changes{From: from, Rows: rows})
+	}
+}
+
 // invalidateSnapshot makes the next poll read the whole table. The current rows stay in use until then.
 func (f *Follower) invalidateSnapshot() {
 	f.mu.Lock()
@@ -172,7 +270,8 @@
 // Wait without an outage, so the limit is outageThreshold plus Wait. The result can be false even if inOutage was set.
 func (f *Follower) recordSuccess() (endedOutage bool) {
 	now := f.config.Now()
-	endedOutage = now.Sub(f.lastSuccess) > outageThreshold+f.config.Wait
+	// Relayed reads may be up to two intervals apart.
+	endedOutage = now.Sub(f.lastSuccess) > outageThreshold+max(f.config.Wait, 2*f.relayer.Interval())
 	if f.inOutage {
 		f.config.Log.Info().Str("Table", f.config.Table).Int64("Version", f.table.Version).
 			Dur("SinceAnswer", now.Sub(f.lastSuccess)).Msg("registrar: store regained")
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"geraniumladder/internal/registrar"
 )
@@ -267,3 +270,105 @@
 	}
 	assert.Assert(t, counts["b"] > 350 && counts["b"] < 650, "%v", counts)
 }
+
+// relayedFollowers starts followers that rely on one another's reads at an interval of 500 ms. isCut makes relayed reads
+// get lost.
+func relayedFollowers(t *testing.T, s *fakeStore, n int, isCut func() bool) []runningFollower {
+	t.Helper()
+	followers := make([]runningFollower, n)
+	for i := range n {
+		name := strconv.Itoa(i)
+		f := registrar.NewFollower(registrar.FollowerConfig{
+			Table: "endpoints", Source: s, Pause: 500 * time.Millisecond, OnChange: func(registrar.Table) {}, Now: time.Now, Log: zerolog.Nop(),
+			Name: name, Relay: func(c registrar.Changes) {
+				for j, other := range followers {
+					if j != i && !isCut() {
+						other.HandleRelayed(name, c)
+					}
+				}
+			},
+		})
+		f.SetRelayInterval(500 * time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan error, 1)
+		followers[i] = runningFollower{Follower: f, stop: func() {
+			cancel()
+			assert.Check(t, errors.Is(<-end, context.Canceled))
+		}}
+		go func() { end <- f.Run(ctx) }()
+	}
+	return followers
+}
+
+// TestFollowersRelyOnOneReader guards against followers that each call the store, against changes that a follower misses
+// when relayed reads are lost, and against a follower that goes on relying on a reader that has stopped.
+func TestFollowersRelyOnOneReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("first", "1")
+		var isCut atomic.Bool
+		followers := relayedFollowers(t, s, 6, isCut.Load)
+		time.Sleep(3 * time.Second)
+		before := 0
+		s.update(func() { before = s.changeReads })
+		s.put("a", "1")
+		s.remove("first")
+		time.Sleep(10 * time.Second)
+		s.update(func() { assert.Assert(t, s.changeReads-before <= 21, s.changeReads-before) })
+		for _, f := range followers {
+			assert.Assert(t, f.has("a") && !f.has("first"))
+		}
+		isCut.Store(true)
+		s.put("b", "1")
+		time.Sleep(time.Second + 20*time.Millisecond)
+		for _, f := range followers {
+			assert.Assert(t, f.has("b"))
+		}
+		isCut.Store(false)
+		time.Sleep(2 * time.Second)
+		followers[0].stop()
+		s.put("c", "1")
+		time.Sleep(time.Second + 20*time.Millisecond)
+		for _, f := range followers[1:] {
+			assert.Assert(t, f.has("c"))
+			f.stop()
+		}
+	})
+}
+
+// TestSplitChangesFollowOnOneAnother guards against parts of changes that leave a gap, repeat a row or tear rows apart
+// that were written together, and against a part that does not fit.
+func TestSplitChangesFollowOnOneAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const maxBytes = 100
+		c := registrar.Changes{From: 10, Rows: registrar.Rows{Version: 10}}
+		for i := range rapid.IntRange(0, 30).Draw(t, "rows") {
+			c.Rows.Version += rapid.Int64Range(0, 2).Draw(t, "step")
+			if i == 0 {
+				c.Rows.Version = 11
+			}
+			c.Rows.Rows = append(c.Rows.Rows, registrar.Row{
+				Key: strconv.Itoa(i), Version: c.Rows.Version, Value: make([]byte, rapid.IntRange(0, 250).Draw(t, "size")),
+			})
+		}
+		at, next := c.From, 0
+		for _, part := range c.Split(maxBytes) {
+			if part.From > at {
+				assert.Equal(t, len(part.Rows.Rows), 0)
+				return
+			}
+			size := 0
+			for _, r := range part.Rows.Rows {
+				assert.Equal(t, r.Key, c.Rows.Rows[next].Key)
+				assert.Assert(t, r.Version > at)
+				next++
+				size += len(r.Value)
+			}
+			assert.Assert(t, size <= 2*maxBytes)
+			assert.Assert(t, part.Rows.Version >= at)
+			at = part.Rows.Version
+		}
+		assert.Equal(t, next, len(c.Rows.Rows))
+		assert.Equal(t, at, c.Rows.Version)
+	})
+}
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -47,8 +47,11 @@
 	// pollsPerLeaveTime is the number of reads of the endpoints' table within Tuning.LeaveTime. The table changes all the
 	// time, so it is polled at an interval instead of at each change.
 	pollsPerLeaveTime = 4
-	// demandInterval is the interval at which the demand is sent to every sidecar.
-	demandInterval = 600 * time.Millisecond
+	// demandInterval is the interval at which the demand is sent to every sidecar. It grows by demandIntervalPerEndpoint
+	// for each endpoint, up to maxDemandInterval: a sidecar forgets an entry that it hasn't heard for 3 s.
+	demandInterval            = 600 * time.Millisecond
+	demandIntervalPerEndpoint = 5 * time.Millisecond
+	maxDemandInterval         = 1300 * time.Millisecond
 	// changedDemandInterval is the interval at which demands that have changed are sent.
 	changedDemandInterval = 40 * time.Millisecond
 	pruneInterval         = time.Second
@@ -71,6 +74,8 @@
 	kindEngineState = "EngineState"
 	kindEntryDemand = "EntryDemand"
 	kindEntryState  = "EntryState"
+	// kindTableChanges is sent within a failure domain only.
+	kindTableChanges = "TableChanges"
 )
 
 const tablePath = "/peer/tables/"
@@ -127,7 +132,7 @@
 	e := &Entry{config: c, log: c.Log, gossiper: g, meter: instruments, boot: g.NextStamp().Boot}
 	e.tuning.Store(&c.Tuning)
 	e.sharer = sharer.New(sharer.Config{
-		VM: c.VM, Address: c.PeerAddress, Seeds: c.Tuning.Seeds, Allowance: c.Tuning.LimitAllowance, Now: time.Now, Log: c.Log,
+		VM: c.VM, Domain: c.Domain, Address: c.PeerAddress, Seeds: c.Tuning.Seeds, Allowance: c.Tuning.LimitAllowance, Now: time.Now, Log: c.Log,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
 		VM: c.VM, Domain: c.Domain, Translator: c.Translator, Pool: connector.New(connector.Config{}),
@@ -137,11 +142,13 @@
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: operatorsPollTimeout,
 		OnChange: e.setOperators, Now: time.Now, Log: c.Log,
+		Name: c.VM, Relay: e.relay(c.Platform.OperatorsTable()),
 	})
 	e.endpoints = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.EndpointsTable(), Source: c.Platform,
 		Pause: endpointsPollInterval(c.Tuning), RetainsAfterOutage: true,
 		OnChange: e.setEndpoints, Now: time.Now, Log: c.Log,
+		Name: c.VM, Relay: e.relay(c.Platform.EndpointsTable()),
 	})
 	gossiper.Handle(g, kindEngineState, func(s wire.EngineState) (string, gossiper.Stamp) {
 		return s.Address, gossiper.Stamp{Boot: s.Boot, Sequence: s.Sequence}
@@ -149,6 +156,9 @@
 	gossiper.Handle(g, kindEntryState, func(s wire.EntryState) (string, gossiper.Stamp) {
 		return s.VM, gossiper.Stamp{Boot: s.Boot, Sequence: s.Sequence}
 	}, func(s wire.EntryState, _ string) { e.sharer.HandleMessage(s) })
+	gossiper.Handle(g, kindTableChanges, func(m wire.TableChanges) (string, gossiper.Stamp) {
+		return m.VM + "/" + m.Table, gossiper.Stamp{Boot: m.Boot, Sequence: m.Sequence}
+	}, func(m wire.TableChanges, _ string) { e.handleTableChanges(m) })
 	return e, nil
 }
 
@@ -209,6 +219,22 @@
 // sendDemand sends this entry's demand to the sidecar of the engine at the address, or to all sidecars if it is empty.
 func (e *Entry) sendDemand(address string) { e.sendDemands(e.forwarder.Demands(address)) }
 
+// sendAllDemands sends the demand to every sidecar at an interval that grows with their number.
+func (e *Entry) sendAllDemands(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		}
+		demands := e.forwarder.Demands("")
+		e.sendDemands(demands)
+		timer.Reset(min(maxDemandInterval, demandInterval+time.Duration(len(demands))*demandIntervalPerEndpoint))
+	}
+}
+
 func (e *Entry) sendDemands(demands []forwarder.EngineDemand) {
 	for _, d := range demands {
 		host, _, err := net.SplitHostPort(d.Address)
@@ -355,11 +381,11 @@
 	}
 	addLoop(&group, func(ctx context.Context) error {
 		return looper.Run(ctx, e.gossiper.Run, e.operators.Run, e.endpoints.Run, e.exchangeState, e.forwarder.MeasureDelay,
-			looper.Every(demandInterval, func(context.Context) { e.sendDemand("") }),
+			e.sendAllDemands,
 			looper.Every(changedDemandInterval, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands()) }),
 			looper.Every(forwarder.LivenessInterval, func(context.Context) { e.forwarder.CheckLiveness() }),
 			looper.Every(pruneInterval, func(context.Context) { e.forwarder.Prune() }),
-			looper.Every(copyInterval, e.copyTables))
+			looper.Every(copyInterval, e.copyTables), looper.Every(pruneInterval, func(context.Context) { e.setRelayIntervals() }))
 	})
 	addLoop(&group, reloadLoop(e.config.Reload, e.applyTuning, e.log))
 	stopped := make(chan struct{})
--- a/internal/resident/tuning.go
+++ b/internal/resident/tuning.go
@@ -26,6 +26,8 @@
 	StopTimeout time.Duration
 	// LeaveTime is how long a leaving endpoint may still get requests after it has announced that it leaves.
 	LeaveTime time.Duration
+	// ApplyTime is how long a change of the configuration may take to be in force; 0 if it is unknown.
+	ApplyTime time.Duration
 	// LoadWindow is the window over which the fleet's loads of models from the weight store are counted.
 	LoadWindow  time.Duration
 	MemoryBytes int64
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -40,6 +40,8 @@
 // Config configures a Sharer.
 type Config struct {
 	VM string
+	// Domain is the failure domain of this entry.
+	Domain string
 	// Address is the HOST:PORT at which the other entries reach this one.
 	Address string
 	// Seeds are addresses of entries to contact first.
@@ -53,6 +55,7 @@
 // peer is the state of another entry. All but address is zero until the first message from it.
 type peer struct {
 	address string
+	domain  string
 	boot    string
 	// lastReceived is when its last message arrived. lastAcknowledged is when a message from it last listed this entry
 	// among those from which it receives messages.
@@ -202,7 +205,7 @@
 		p = &peer{boot: m.Boot}
 		s.peers[m.VM] = p
 	}
-	p.address, p.lastReceived, p.isLeaving = m.Address, now, m.IsLeaving
+	p.address, p.domain, p.lastReceived, p.isLeaving = m.Address, m.FailureDomain, now, m.IsLeaving
 	p.tables = make(map[string]int64, len(m.Tables))
 	for _, t := range m.Tables {
 		p.tables[t.Table] = t.Version
@@ -338,7 +341,7 @@
 	s.updateGroup()
 	now := s.config.Now()
 	m := wire.EntryState{
-		Boot: boot, Sequence: sequence, VM: s.config.VM, Address: s.config.Address, IsLeaving: s.isLeaving,
+		Boot: boot, Sequence: sequence, VM: s.config.VM, Address: s.config.Address, FailureDomain: s.config.Domain, IsLeaving: s.isLeaving,
 		Tables: []wire.TableVersion{}, Heard: []string{}, OneWay: []string{}, Spent: []wire.OrganisationSpent{},
 	}
 	for table, version := range tables {
@@ -382,6 +385,20 @@
 	return s.memberCount
 }
 
+// DomainPeers returns the addresses of the entries of this entry's failure domain that it is in contact with.
+func (s *Sharer) DomainPeers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Now()
+	var addresses []string
+	for _, p := range s.peers {
+		if p.domain == s.config.Domain && !p.isLeaving && s.hasMutualContact(p, now) {
+			addresses = append(addresses, p.address)
+		}
+	}
+	return addresses
+}
+
 // PeersWithNewer returns the addresses of reachable entries with a newer copy of the table, newest first.
 func (s *Sharer) PeersWithNewer(table string, version int64) []string {
 	s.mu.Lock()
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -413,6 +413,9 @@
 	// Boot Names one run of the sender's process.
 	Boot string `json:"Boot"`
 
+	// FailureDomain Empty from a process that doesn't tell.
+	FailureDomain string `json:"FailureDomain,omitempty"`
+
 	// Heard VMs that the sender has heard from lately.
 	Heard     []string `json:"Heard"`
 	IsLeaving bool     `json:"IsLeaving"`
@@ -678,6 +681,24 @@
 	VM       string   `json:"Vm"`
 }
 
+// TableChanges Sent by an entry to those of its failure domain, as one datagram, when it has read changes of a table, or that there are none.
+type TableChanges struct {
+	// Boot Names one run of the sender's process.
+	Boot string `json:"Boot"`
+
+	// From Version of the table to which the changes apply.
+	From int64      `json:"From"`
+	Rows []TableRow `json:"Rows"`
+
+	// Sequence Rises with each message of one run.
+	Sequence int64  `json:"Sequence"`
+	Table    string `json:"Table"`
+
+	// Version Version of the table after the changes.
+	Version int64  `json:"Version"`
+	VM      string `json:"Vm"`
+}
+
 // TableCopy One process's copy of a table of the platform's store.
 type TableCopy struct {
 	Rows    []TableRow `json:"Rows"`
@@ -687,9 +708,10 @@
 
 // TableRow defines model for TableRow.
 type TableRow struct {
-	Key     string `json:"Key"`
-	Value   []byte `json:"Value"`
-	Version int64  `json:"Version"`
+	IsDeleted bool   `json:"IsDeleted,omitempty"`
+	Key       string `json:"Key"`
+	Value     []byte `json:"Value"`
+	Version   int64  `json:"Version"`
 }
 
 // TableVersion defines model for TableVersion.
