A plain service's endless answer no longer fills its sidecar's memory

Cause: the sidecar keeps a service's whole answer and had no bound for it; heads could be 10 MB. Seen by a test whose service sends without end: the sidecar took all of it (160 MB and more). Change: answers end at 64 MiB with a failure that says the call may have run; heads of engines and services end at 64 KiB.

--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -48,7 +48,8 @@
 		DisableCompression: true,
 		// An open connection can stop delivering data for good while new connections work, and HTTP/1.1 has no ping to
 		// detect this. The engine is close by, so each request opens its own connection.
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &engine{url: strings.TrimSuffix(url, "/"), client: &http.Client{Transport: transport}}
 }
--- a/internal/dispatcher/leave_test.go
+++ b/internal/dispatcher/leave_test.go
@@ -36,16 +36,7 @@
 	defer service.Close()
 	d, client, address := startSidecar(t, service.URL)
 
-	header, err := json.Marshal(wire.RunHeader{
-		RequestID: "r1", Attempt: 1, Incarnation: d.Incarnation(), Organisation: "o", Weight: 1, RemainingMs: 60_000,
-	})
-	assert.NilError(t, err)
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, dispatcher.RunPath, http.NoBody)
-	assert.NilError(t, err)
-	req.Header.Set(dispatcher.RunHeaderName, string(header))
-	req.Header.Set(dispatcher.MethodHeader, http.MethodPost)
-	req.Header.Set(dispatcher.TargetHeader, "/exports")
-	resp, err := client.Do(req, address)
+	resp, err := run(t, d, client, address)
 	assert.NilError(t, err)
 	defer func() { _ = resp.Body.Close() }()
 
@@ -70,6 +61,58 @@
 	assert.NilError(t, <-left)
 }
 
+// run sends a request for the service to the sidecar.
+func run(t *testing.T, d *dispatcher.Dispatcher, client *messenger.Messenger, address string) (*http.Response, error) {
+	t.Helper()
+	header, err := json.Marshal(wire.RunHeader{
+		RequestID: "r1", Attempt: 1, Incarnation: d.Incarnation(), Organisation: "o", Weight: 1, RemainingMs: 60_000,
+	})
+	assert.NilError(t, err)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, dispatcher.RunPath, http.NoBody)
+	assert.NilError(t, err)
+	req.Header.Set(dispatcher.RunHeaderName, string(header))
+	req.Header.Set(dispatcher.MethodHeader, http.MethodPost)
+	req.Header.Set(dispatcher.TargetHeader, "/exports")
+	return client.Do(req, address)
+}
+
+// TestEndlessServiceAnswerIsCutOff guards against a plain service that sends its body, or a header line, without end, all
+// of which the sidecar would keep in memory.
+func TestEndlessServiceAnswerIsCutOff(t *testing.T) {
+	const mostTaken = 160 << 20
+	for name, start := range map[string]string{
+		"body":   "HTTP/1.1 200 OK\r\n\r\n",
+		"header": "HTTP/1.1 200 OK\r\nA: ",
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		written := make(chan int, 1)
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, start)
+			block, n := bytes.Repeat([]byte("x"), 64<<10), 0
+			for err == nil && n < mostTaken {
+				_, err = c.Write(block)
+				n += len(block)
+			}
+			written <- n
+		}()
+		d, client, address := startSidecar(t, "http://"+listener.Addr().String())
+		resp, err := run(t, d, client, address)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.Assert(t, err != nil || resp.StatusCode != http.StatusOK || resp.Trailer.Get(dispatcher.EndTrailer) == "", name)
+			assert.NilError(t, resp.Body.Close())
+		}
+		assert.Assert(t, <-written < mostTaken, name)
+	}
+}
+
 func startSidecar(t *testing.T, service string) (*dispatcher.Dispatcher, *messenger.Messenger, string) {
 	t.Helper()
 	signer, err := authenticator.New(authenticator.Config{Secret: "0123456789abcdef"})
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -19,6 +19,14 @@
 // serviceReadSize is the buffer size for reading a service's response.
 const serviceReadSize = 32 << 10
 
+const (
+	// maxHeadBytes limits the head of an endpoint's response, which a faulty endpoint may send without end.
+	maxHeadBytes = 64 << 10
+	// maxAnswerBytes limits the body of a plain service's response, which is kept in memory as a whole. It equals the limit
+	// of request bodies.
+	maxAnswerBytes = maxBodyBytes
+)
+
 // service is a client for one plain service.
 type service struct {
 	url    string
@@ -32,7 +40,8 @@
 		// On a reused connection that breaks, net/http sends a request again if it looks idempotent, for example
 		// because it has an Idempotency-Key header. It never does this on a new connection. A reused connection may
 		// also have stopped delivering data for good while new connections work.
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &service{url: strings.TrimSuffix(url, "/"), client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
@@ -54,8 +63,12 @@
 	defer func() { _ = resp.Body.Close() }()
 	out.start(resp.StatusCode, resp.Header.Clone())
 	buffer := make([]byte, serviceReadSize)
-	for {
+	for left := maxAnswerBytes; ; {
 		n, err := resp.Body.Read(buffer)
+		if left -= n; left < 0 {
+			return &wire.RunError{Code: wire.RunErrorCodeEngineFailed, Outcome: wire.RunErrorOutcomeRan,
+				Message: fmt.Sprintf("the service's answer is larger than %d bytes; read the state of the call before repeating it", maxAnswerBytes), RequestID: run.RequestID}
+		}
 		if n > 0 {
 			out.write(append([]byte(nil), buffer[:n]...))
 		}
