--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -6,9 +6,7 @@
 package orderer
 
 import (
-	"cmp"
 	"context"
-	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -27,8 +25,8 @@
 	idlePollInterval   = 100 * time.Millisecond
 	activePollInterval = 20 * time.Millisecond
 	// maxSendInterval is the longest time between two state messages to the entries, and maxActiveSendInterval the same
-	// while the engine has requests. minSendInterval is the shortest time between messages to all of them; a change of
-	// adapters is sent immediately to the entries whose requests wait for an adapter. An entry that receives no message assumes that the
+	// while the engine has requests. minSendInterval is the shortest time between messages that report only a change in
+	// load or adapter use; a change of adapters is sent immediately. An entry that receives no message assumes that the
 	// VM has stopped and reroutes its requests. With much longer intervals it would do so too late for callers, which time
 	// out after a few seconds.
 	maxSendInterval       = 800 * time.Millisecond
@@ -36,9 +34,6 @@
 	minSendInterval       = 50 * time.Millisecond
 	// sendIntervalPerEntry is the additional interval per entry.
 	sendIntervalPerEntry = 10 * time.Millisecond
-	// repeatInterval is the time after which an entry is told again of an adapter that its requests go on waiting for,
-	// because a datagram may be lost. It is longer than the time in which entries repeat their demand.
-	repeatInterval = 100 * time.Millisecond
 	// demandTTL is how long an entry's demand stays valid without a new message.
 	demandTTL = 3 * time.Second
 	// weightHalfLife is the half-life of past requests in the weight by which an adapter to unload is chosen.
@@ -195,35 +190,11 @@
 	pendingLoads map[Adapter]time.Time
 	sentState    wire.EngineState
 	sentAt       time.Time
-	// adaptersSentAt is when the adapters were last included in a message to all entries.
+	// recipientCount is the number of entries in the last publishState, and adaptersSentAt is when the adapters were last
+	// included in a message.
+	recipientCount int
 	adaptersSentAt time.Time
-	// adapters are those of the last poll, and adaptersVersion counts their changes.
-	adapters        *wire.EngineAdapters
-	adaptersVersion int
-	// told holds what each entry was last told of the adapters, by address.
-	told     map[string]toldAdapters
-	isActive bool
-}
-
-// toldAdapters is the version of the adapters that an entry was last told, and when.
-type toldAdapters struct {
-	version int
-	at      time.Time
-}
-
-// recipient is an entry to which the state is sent.
-type recipient struct {
-	address string
-	// waitsFor are the adapters for which the entry's requests wait, with the least versions that they need.
-	waitsFor map[Adapter]int64
-}
-
-func addresses(recipients []recipient) []string {
-	list := make([]string, len(recipients))
-	for i, r := range recipients {
-		list[i] = r.address
-	}
-	return list
+	isActive       bool
 }
 
 // weight is an exponentially decayed count of requests.
@@ -242,7 +213,7 @@
 	return &Orderer{
 		config: c, wake: make(chan struct{}, 1), entries: map[string]entryDemand{},
 		requestCounts: map[string]map[Adapter]int{}, weights: map[Adapter]weight{}, waitingSince: map[Adapter]time.Time{},
-		pendingLoads: map[Adapter]time.Time{}, told: map[string]toldAdapters{},
+		pendingLoads: map[Adapter]time.Time{},
 	}
 }
 
@@ -303,31 +274,27 @@
 	return sum
 }
 
-// totalDemand drops expired demand and returns the sum of the rest by adapter, and the entries.
-func (o *Orderer) totalDemand() (map[Adapter]Demand, []recipient) {
+// totalDemand drops expired demand and returns the sum of the rest by adapter, and the addresses of the entries.
+func (o *Orderer) totalDemand() (map[Adapter]Demand, []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.config.Now()
 	sum := map[Adapter]Demand{}
-	var recipients []recipient
+	var recipients []string
 	for vm, e := range o.entries {
 		if now.Sub(e.updatedAt) > demandTTL {
 			delete(o.entries, vm)
 			delete(o.requestCounts, vm)
 			continue
 		}
-		to := recipient{address: e.address, waitsFor: map[Adapter]int64{}}
+		recipients = append(recipients, e.address)
 		for a, d := range e.adapterDemand {
-			if d.Waiting > 0 {
-				to.waitsFor[a] = d.Version
-			}
 			s := sum[a]
 			s.Version = max(s.Version, d.Version)
 			s.Waiting += d.Waiting
 			s.Open += d.Open
 			sum[a] = s
 		}
-		recipients = append(recipients, to)
 	}
 	for a := range o.waitingSince {
 		if sum[a].Waiting == 0 {
@@ -347,7 +314,7 @@
 			sum[a] = s
 		}
 	}
-	slices.SortFunc(recipients, func(a, b recipient) int { return cmp.Compare(a.address, b.address) })
+	slices.Sort(recipients)
 	return sum, recipients
 }
 
@@ -403,7 +370,7 @@
 	return o.config.Engine.Report(ctx)
 }
 
-func (o *Orderer) handleReportFailure(err error, recipients []recipient) {
+func (o *Orderer) handleReportFailure(err error, recipients []string) {
 	o.failedReports++
 	if o.failedReports == downThreshold {
 		o.config.Log.Warn().Err(err).Msg("orderer: engine lost")
@@ -540,10 +507,10 @@
 	return true
 }
 
-// publishState sends the engine's state to the entries: to all of them after a minimum interval when something has
-// changed, and otherwise at the interval of nextSendWithin. Between these messages it sends changed adapters to the
-// entries that wait for one. With hundreds of processes, telling each entry of each load would be most of the traffic.
-func (o *Orderer) publishState(r Report, demands map[Adapter]Demand, recipients []recipient) {
+// publishState sends the engine's state to the entries: at once when its adapters have changed or an entry has been
+// added, after a minimum interval when its load or the use of its adapters has changed, and otherwise at the interval of
+// nextSendWithin.
+func (o *Orderer) publishState(r Report, demands map[Adapter]Demand, recipients []string) {
 	adapters := &wire.EngineAdapters{Resident: adapterNames(r.Resident), Loading: adapterNames(r.Loading)}
 	for model, version := range r.Models {
 		adapters.Resident = append(adapters.Resident, wire.AdapterName{Model: model, Version: version})
@@ -555,56 +522,19 @@
 		Address: o.config.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, UsedTokens: r.Used, TotalTokens: r.Total,
 		UnreadTokens: o.unprocessedTokens(), Adapters: adapters,
 	}
-	isOtherRun := s.Born != o.sentState.Born || o.sentState.IsDown
-	if isOtherRun || !holdSame(adapters, o.adapters) {
-		o.adaptersVersion++
-	}
-	o.adapters = adapters
+	sentAdapters := o.sentState.Adapters
+	adaptersChanged := sentAdapters == nil || s.Born != o.sentState.Born || o.sentState.IsDown || len(recipients) > o.recipientCount ||
+		!slices.EqualFunc(adapters.Resident, sentAdapters.Resident, equalIgnoringUse) || !slices.Equal(adapters.Loading, sentAdapters.Loading)
 	for i, a := range adapters.Resident {
 		d := demands[Adapter{Model: a.Model, Name: a.Adapter}]
 		adapters.Resident[i].IsUsed = d.Open > 0 || d.Waiting > 0
 	}
-	sentAdapters := o.sentState.Adapters
-	adaptersChanged := !holdSame(adapters, sentAdapters) || !slices.Equal(adapters.Resident, sentAdapters.Resident)
+	useChanged := sentAdapters != nil && !slices.Equal(adapters.Resident, sentAdapters.Resident)
 	loadChanged := s.Running != o.sentState.Running || s.Waiting != o.sentState.Waiting || s.UnreadTokens != o.sentState.UnreadTokens
 	// The number of messages from all sidecars grows with the number of entries, so the interval grows with it.
 	minInterval := max(minSendInterval, time.Duration(len(recipients))*sendIntervalPerEntry)
-	isDue := isOtherRun || (adaptersChanged || loadChanged) && o.config.Now().Sub(o.sentAt) >= minInterval
-	if !o.sendState(s, recipients, isDue, adaptersChanged) {
-		o.informWaiting(s, r, recipients)
-	}
-}
-
-// informWaiting sends the state to the entries that haven't been told of the adapters they wait for, and to new entries.
-func (o *Orderer) informWaiting(s wire.EngineState, r Report, recipients []recipient) {
-	now := o.config.Now()
-	var uninformed []recipient
-	for _, to := range recipients {
-		told, isKnown := o.told[to.address]
-		isRepeat := now.Sub(told.at) >= repeatInterval && slices.ContainsFunc(slices.Collect(maps.Keys(to.waitsFor)), func(a Adapter) bool {
-			return hasVersion(r.Resident, a, to.waitsFor[a])
-		})
-		if !isKnown || len(to.waitsFor) > 0 && told.version < o.adaptersVersion || isRepeat {
-			uninformed = append(uninformed, to)
-		}
-	}
-	if len(uninformed) == 0 {
-		return
-	}
-	s.NextWithinMilliseconds = (nextSendWithin(&s, len(recipients)) + idlePollInterval).Milliseconds()
-	o.recordTold(uninformed, now)
-	o.config.SendState(s, addresses(uninformed))
-}
-
-func (o *Orderer) recordTold(recipients []recipient, now time.Time) {
-	for _, to := range recipients {
-		o.told[to.address] = toldAdapters{version: o.adaptersVersion, at: now}
-	}
-}
-
-// holdSame reports whether both name the same adapters, whichever of them are in use. It is false if b is nil.
-func holdSame(a, b *wire.EngineAdapters) bool {
-	return b != nil && slices.EqualFunc(a.Resident, b.Resident, equalIgnoringUse) && slices.Equal(a.Loading, b.Loading)
+	o.recipientCount = len(recipients)
+	o.sendState(s, recipients, adaptersChanged || (loadChanged || useChanged) && o.config.Now().Sub(o.sentAt) >= minInterval, adaptersChanged || useChanged)
 }
 
 // equalIgnoringUse reports whether two adapters are equal apart from IsUsed.
@@ -613,13 +543,12 @@
 	return a == b
 }
 
-// sendState sends the state to all entries if isDue is set or nextSendWithin has passed since the last message, and
-// reports whether it did. It leaves out unchanged adapters, but includes them again after maxSendInterval because a
-// datagram may be lost.
-func (o *Orderer) sendState(s wire.EngineState, recipients []recipient, isDue, withAdapters bool) bool {
+// sendState sends the state if isDue is set or nextSendWithin has passed since the last message. It leaves out unchanged
+// adapters, but includes them again after maxSendInterval because a datagram may be lost.
+func (o *Orderer) sendState(s wire.EngineState, recipients []string, isDue, withAdapters bool) {
 	now := o.config.Now()
 	if !isDue && now.Sub(o.sentAt) < nextSendWithin(&o.sentState, len(recipients)) {
-		return false
+		return
 	}
 	// The next message is sent by the first poll after the interval, which adds up to one poll interval.
 	s.NextWithinMilliseconds = (nextSendWithin(&s, len(recipients)) + idlePollInterval).Milliseconds()
@@ -628,14 +557,10 @@
 		s.Adapters = nil
 	} else {
 		o.adaptersSentAt = now
-		// Entries that are no longer among the recipients are forgotten.
-		o.told = make(map[string]toldAdapters, len(recipients))
-		o.recordTold(recipients, now)
 	}
 	if len(recipients) > 0 {
-		o.config.SendState(s, addresses(recipients))
+		o.config.SendState(s, recipients)
 	}
-	return true
 }
 
 // nextSendWithin returns the longest time from a message with the given state to the next one.
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -47,11 +47,8 @@
 	// pollsPerLeaveTime is the number of reads of the endpoints' table within Tuning.LeaveTime. The table changes all the
 	// time, so it is polled at an interval instead of at each change.
 	pollsPerLeaveTime = 4
-	// demandInterval is the interval at which the demand is sent to every sidecar. It grows by demandIntervalPerEndpoint
-	// for each endpoint, up to maxDemandInterval: a sidecar forgets an entry that it hasn't heard for 3 s.
-	demandInterval            = 600 * time.Millisecond
-	demandIntervalPerEndpoint = 5 * time.Millisecond
-	maxDemandInterval         = 1300 * time.Millisecond
+	// demandInterval is the interval at which the demand is sent to every sidecar.
+	demandInterval = 600 * time.Millisecond
 	// changedDemandInterval is the interval at which demands that have changed are sent.
 	changedDemandInterval = 40 * time.Millisecond
 	pruneInterval         = time.Second
@@ -219,22 +216,6 @@
 // sendDemand sends this entry's demand to the sidecar of the engine at the address, or to all sidecars if it is empty.
 func (e *Entry) sendDemand(address string) { e.sendDemands(e.forwarder.Demands(address)) }
 
-// sendAllDemands sends the demand to every sidecar at an interval that grows with their number.
-func (e *Entry) sendAllDemands(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-timer.C:
-		}
-		demands := e.forwarder.Demands("")
-		e.sendDemands(demands)
-		timer.Reset(min(maxDemandInterval, demandInterval+time.Duration(len(demands))*demandIntervalPerEndpoint))
-	}
-}
-
 func (e *Entry) sendDemands(demands []forwarder.EngineDemand) {
 	for _, d := range demands {
 		host, _, err := net.SplitHostPort(d.Address)
@@ -381,7 +362,7 @@
 	}
 	addLoop(&group, func(ctx context.Context) error {
 		return looper.Run(ctx, e.gossiper.Run, e.operators.Run, e.endpoints.Run, e.exchangeState, e.forwarder.MeasureDelay,
-			e.sendAllDemands,
+			looper.Every(demandInterval, func(context.Context) { e.sendDemand("") }),
 			looper.Every(changedDemandInterval, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands()) }),
 			looper.Every(forwarder.LivenessInterval, func(context.Context) { e.forwarder.CheckLiveness() }),
 			looper.Every(pruneInterval, func(context.Context) { e.forwarder.Prune() }),
