--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -971,3 +971,38 @@
 		}
 	}
 }
+
+// TestTricklingStreamIsAbandonedAtSilentEndpoint guards against a stream at a silent endpoint that seems alive because it
+// sends a byte now and then, and never an event. It must go on elsewhere.
+func TestTricklingStreamIsAbandonedAtSilentEndpoint(t *testing.T) {
+	const heartbeat = 20 * time.Millisecond
+	trickling := newEndpoint(t, "trickling", func(c net.Conn, r *http.Request, _ int) bool {
+		streamHead(c, r)
+		for {
+			if _, err := io.WriteString(c, "1\r\nx\r\n"); err != nil {
+				return false
+			}
+			time.Sleep(heartbeat)
+		}
+	})
+	other := newEndpoint(t, "other", func(c net.Conn, r *http.Request, _ int) bool {
+		streamHead(c, r)
+		_, err := io.WriteString(c, "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
+		return err == nil
+	})
+	f := newFixture(t, trickling)
+	f.SetState(wire.EngineState{Address: trickling.listener.Addr().String(), NextWithinMilliseconds: heartbeat.Milliseconds()})
+	replies := make(chan reply, 1)
+	go func() { replies <- f.sendCtx(t.Context(), "/resume/", "", "Patience", "4900") }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return hasRequestCount(trickling, 1) })
+	f.SetEndpoints([]registrar.Endpoint{trickling.registered("s"), other.registered("s")})
+	end := time.Now().Add(4 * time.Second)
+	for len(replies) == 0 && time.Now().Before(end) {
+		f.SetState(wire.EngineState{Address: other.listener.Addr().String(), NextWithinMilliseconds: heartbeat.Milliseconds()})
+		f.CheckLiveness()
+		time.Sleep(heartbeat / 2)
+	}
+	got := <-replies
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body, "id: 1\ndata: a\n\n")
+}
