--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -31,10 +31,12 @@
 	// endpoint closes the connection.
 	idleMargin     = 900 * time.Millisecond
 	readBufferSize = 4 << 10
-	// MaxHeadBytes and MaxHeadLines limit the status line and the header lines of one response, and maxInterimResponses
-	// the interim responses before it. A faulty endpoint may send them without end.
-	MaxHeadBytes        = 64 << 10
-	MaxHeadLines        = 100
+	// MaxHeadBytes limits the status line and the header lines of one response together. A faulty endpoint may send them
+	// without end.
+	MaxHeadBytes = 64 << 10
+	// MaxHeadLines limits the header lines of one response.
+	MaxHeadLines = 100
+	// maxInterimResponses limits the interim responses before a response.
 	maxInterimResponses = 8
 	// headTimeout bounds the time from the first byte of a response's head to the last.
 	headTimeout = 2 * time.Second
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -224,7 +224,6 @@
 			assert.NilError(t, conn.Send(&connector.Request{Method: "GET", Target: "/", Host: "h"}))
 			failure := make(chan error, 1)
 			go func() {
-				//nolint:bodyclose // There is no response.
 				_, err := conn.ReceiveResponse("GET")
 				failure <- err
 			}()
--- a/pkg/relayer/relayer_test.go
+++ b/pkg/relayer/relayer_test.go
@@ -21,7 +21,6 @@
 	relayer.Relayer
 	name         string
 	isDown       bool
-	nextOwn      time.Duration
 	fresh        time.Duration
 	reads        int
 	wasStaleFor  time.Duration
