--- a/internal/experimenter/limits.go
+++ b/internal/experimenter/limits.go
@@ -235,9 +235,9 @@
 	// admittedAt is -1 until the policy admits the request.
 	admittedAt time.Duration
 	decided    bool
-	// ideal is set if the global bucket admits the request. covered is set if the bucket charged with the policy's
+	// ideal is set if the global bucket admits the request. hasTokens is set if the bucket charged with the policy's
 	// admissions has enough tokens for it at its arrival and, if it is refused, also at its refusal.
-	ideal, covered bool
+	ideal, hasTokens bool
 }
 
 // limitPolicy decides on requests. It reports each decision, immediately or later, by calling recordAdmitted or
@@ -286,7 +286,7 @@
 	sequence int
 	now      time.Duration
 	requests []*limitRequest
-	// ideal and charged are the global buckets behind limitRequest.ideal and limitRequest.covered, by organisation.
+	// ideal and charged are the global buckets behind limitRequest.ideal and limitRequest.hasTokens, by organisation.
 	ideal, charged []limiter.Bucket
 	down           [limitsEntryCount]bool
 	messages       int
@@ -379,7 +379,7 @@
 		r.after(q.serviceTime, func() { r.ideal[q.organisation] = r.ideal[q.organisation].Settle(q.id, q.used, r.now) })
 	}
 	r.charged[q.organisation] = r.charged[q.organisation].Advance(r.now)
-	q.covered = r.charged[q.organisation].Level() >= q.reserved
+	q.hasTokens = r.charged[q.organisation].Level() >= q.reserved
 	r.policy.arrive(q)
 	if !q.decided {
 		r.after(admissionWait, func() {
@@ -406,7 +406,7 @@
 func (r *limitsRun) recordRefused(q *limitRequest) {
 	q.decided = true
 	r.charged[q.organisation] = r.charged[q.organisation].Advance(r.now)
-	q.covered = q.covered && r.charged[q.organisation].Level() >= q.reserved
+	q.hasTokens = q.hasTokens && r.charged[q.organisation].Level() >= q.reserved
 }
 
 // addTo adds the run's results to row and returns the sum of the waits.
@@ -426,7 +426,7 @@
 			if measured && q.ideal {
 				row.Wrongful++
 			}
-			if measured && q.covered {
+			if measured && q.hasTokens {
 				row.Stranded++
 			}
 			continue
--- a/internal/lender/loans.go
+++ b/internal/lender/loans.go
@@ -66,13 +66,13 @@
 	case l.grantOpened <- struct{}{}:
 	default:
 	}
-	life := l.config.Policy.GrantTTL
+	ttl := l.config.Policy.GrantTTL
 	request := wire.LendRequest{
 		GrantID: id, Borrower: l.self, Organisation: organisation, Tokens: ask.Tokens,
-		LifeMs: life.Milliseconds(), Epoch: l.epoch.Number(),
+		LifeMs: ttl.Milliseconds(), Epoch: l.epoch.Number(),
 	}
 	l.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, life)
+		ctx, cancel := context.WithTimeout(ctx, ttl)
 		defer cancel()
 		var reply wire.LendReply
 		err := l.config.Messenger.Call(ctx, ask.Lender, lendPath, request, &reply)
--- a/pkg/limiter/account.go
+++ b/pkg/limiter/account.go
@@ -82,7 +82,7 @@
 type Account struct {
 	policy Policy
 	bucket Bucket
-	purse  BorrowedGrants
+	grants BorrowedGrants
 	// demand is the average of requested tokens per second, as of demandAt.
 	demand      float64
 	demandAt    time.Duration
@@ -98,7 +98,7 @@
 func (a Account) Bucket() Bucket { return a.bucket }
 
 // BorrowedGrants returns the open grants that the entry has borrowed.
-func (a Account) BorrowedGrants() BorrowedGrants { return a.purse }
+func (a Account) BorrowedGrants() BorrowedGrants { return a.grants }
 
 // WithConfig replaces the fleet-wide limit.
 func (a Account) WithConfig(c Config, now time.Duration) Account {
@@ -153,25 +153,25 @@
 	a.bucket = a.bucket.Advance(now)
 	// Use the bucket first: refunding its part needs no message to a lender.
 	level := min(tokens, a.bucket.Level())
-	purse, grantSpends, ok := a.purse.Spend(tokens-level, now)
+	grants, grantSpends, ok := a.grants.Spend(tokens-level, now)
 	if !ok || tokens > a.bucket.config.Burst {
 		bucket, d := a.bucket.Reserve(id, tokens, now)
 		a.bucket = bucket
-		d.Missing -= a.purse.Available(now)
+		d.Missing -= a.grants.Available(now)
 		return a, d
 	}
 	bucket, d := a.bucket.Reserve(id, level, now)
 	if !d.Admitted {
 		return a, d
 	}
-	a.bucket, a.purse = bucket, purse
+	a.bucket, a.grants = bucket, grants
 	if len(grantSpends) > 0 {
 		a.grantSpends = a.grantSpends.set(id, grantSpends, 0)
 	}
 	for _, spend := range grantSpends {
 		u, _ := a.usage.get(spend.Grant)
 		u.openAdmissions++
-		u.lender = a.purse.lender(spend.Grant)
+		u.lender = a.grants.lender(spend.Grant)
 		a.usage = a.usage.set(spend.Grant, u, 0)
 	}
 	return a, d
@@ -232,7 +232,7 @@
 // request are skipped.
 func (a Account) PlanLoans(needs []float64, now time.Duration) []LoanRequest {
 	a.bucket = a.bucket.Advance(now)
-	available := a.bucket.Level() + a.purse.Available(now)
+	available := a.bucket.Level() + a.grants.Available(now)
 	peers := a.candidateLenders(now)
 	var peerTotal float64
 	for _, p := range peers {
@@ -285,7 +285,7 @@
 func (a Account) candidateLenders(now time.Duration) []peerLevel {
 	var peers []peerLevel
 	for _, p := range a.peers {
-		if !slices.ContainsFunc(a.purse.grants, func(g BorrowedGrant) bool { return g.Lender == p.name && !g.Received }) {
+		if !slices.ContainsFunc(a.grants.grants, func(g BorrowedGrant) bool { return g.Lender == p.name && !g.Received }) {
 			peers = append(peers, p)
 		}
 	}
@@ -296,7 +296,7 @@
 // WithLoanRequested opens a grant that is about to be requested. now must be read before the request is sent, so that
 // the grant expires at the borrower before it expires at the lender.
 func (a Account) WithLoanRequested(id, lender string, now time.Duration) Account {
-	a.purse = a.purse.WithLoanRequested(id, lender, now, a.policy.GrantTTL)
+	a.grants = a.grants.WithLoanRequested(id, lender, now, a.policy.GrantTTL)
 	a.peers = slices.Clone(a.peers)
 	for i := range a.peers {
 		if a.peers[i].name == lender {
@@ -310,9 +310,9 @@
 // as far as it has room, because there they do not expire and refunding unused ones needs no message. A grant that has
 // moved in full is reported at once.
 func (a Account) WithLoanReply(id string, tokens, level float64, now time.Duration) (Account, []GrantReport) {
-	lender := a.purse.lender(id)
-	purse, granted := a.purse.WithGranted(id, tokens, now)
-	a.purse = purse
+	lender := a.grants.lender(id)
+	grants, granted := a.grants.WithGranted(id, tokens, now)
+	a.grants = grants
 	if lender != "" {
 		a = a.WithPeer(lender, level, now)
 	}
@@ -321,7 +321,7 @@
 	}
 	bucket, deposited := a.bucket.Deposit(tokens, now)
 	// The grant stays open for tokens for which the bucket has no room.
-	if a.purse, deposited = a.purse.SpendFrom(id, deposited, now); deposited < tokens {
+	if a.grants, deposited = a.grants.SpendFrom(id, deposited, now); deposited < tokens {
 		a.bucket = bucket
 		return a, nil
 	}
@@ -331,20 +331,20 @@
 
 // WithLoanFailed closes a grant whose reply was lost and reports to the lender that none of it was spent.
 func (a Account) WithLoanFailed(id string, now time.Duration) (Account, []GrantReport) {
-	lender := a.purse.lender(id)
+	lender := a.grants.lender(id)
 	if lender == "" {
 		return a, nil
 	}
 	return a.WithPeer(lender, 0, now).closeGrant(id)
 }
 
-// Lend grants up to tokens that the entry does not need itself, to be spent within life on the borrower's clock. It
+// Lend grants up to tokens that the entry does not need itself, to be spent within ttl on the borrower's clock. It
 // returns the amount granted and what is left for other borrowers. A life above GrantTTL is refused.
-func (a Account) Lend(id string, tokens float64, now, life time.Duration) (lent Account, granted, left float64) {
+func (a Account) Lend(id string, tokens float64, now, ttl time.Duration) (lent Account, granted, left float64) {
 	a.bucket = a.bucket.Advance(now)
 	demandReserve := a.demandReserve(now)
-	if life > 0 && life <= a.policy.GrantTTL {
-		a.bucket, granted = a.bucket.Lend(id, max(0, min(tokens, a.bucket.Level()-demandReserve)), now, now+PadForClockDrift(life))
+	if ttl > 0 && ttl <= a.policy.GrantTTL {
+		a.bucket, granted = a.bucket.Lend(id, max(0, min(tokens, a.bucket.Level()-demandReserve)), now, now+PadForClockDrift(ttl))
 	}
 	return a, granted, max(0, a.bucket.Level()-demandReserve)
 }
@@ -377,7 +377,7 @@
 // reply has arrived. The reports are to be sent to the lenders.
 func (a Account) CloseUnusedGrants(waiting bool, now time.Duration) (Account, []GrantReport) {
 	var reports []GrantReport
-	for _, g := range a.purse.All() {
+	for _, g := range a.grants.All() {
 		var closed []GrantReport
 		switch {
 		case g.End <= now:
@@ -387,7 +387,7 @@
 			}
 		case !g.Received: // The lender's reply may still arrive.
 		case g.Tokens == 0:
-			a.purse, _, _ = a.purse.Close(g.ID)
+			a.grants, _, _ = a.grants.Close(g.ID)
 		case g.Remaining() <= 0 || !waiting:
 			a, closed = a.closeGrant(g.ID)
 		}
@@ -399,7 +399,7 @@
 // CloseAllGrants closes all grants, for a graceful shutdown. The reports are to be sent to the lenders.
 func (a Account) CloseAllGrants() (Account, []GrantReport) {
 	var reports []GrantReport
-	for _, g := range a.purse.All() {
+	for _, g := range a.grants.All() {
 		var closed []GrantReport
 		a, closed = a.closeGrant(g.ID)
 		reports = append(reports, closed...)
@@ -410,11 +410,11 @@
 // closeGrant closes a grant and returns the report to its lender. If admissions that spent from the grant are still
 // open, Settle may return a second report, with a smaller amount, when the last of them is settled.
 func (a Account) closeGrant(id string) (Account, []GrantReport) {
-	purse, g, ok := a.purse.Close(id)
+	grants, g, ok := a.grants.Close(id)
 	if !ok {
 		return a, nil
 	}
-	a.purse = purse
+	a.grants = grants
 	spent := g.Spent
 	if u, ok := a.usage.get(id); ok {
 		u.reported, u.spent = true, g.Spent
--- a/pkg/limiter/borrowed_grants.go
+++ b/pkg/limiter/borrowed_grants.go
@@ -30,8 +30,8 @@
 }
 
 // WithLoanRequested opens a grant that is about to be requested. now must be read before the request is sent.
-func (p BorrowedGrants) WithLoanRequested(id, lender string, now, life time.Duration) BorrowedGrants {
-	grants := append(slices.Clone(p.grants), BorrowedGrant{ID: id, Lender: lender, End: now + life})
+func (p BorrowedGrants) WithLoanRequested(id, lender string, now, ttl time.Duration) BorrowedGrants {
+	grants := append(slices.Clone(p.grants), BorrowedGrant{ID: id, Lender: lender, End: now + ttl})
 	slices.SortStableFunc(grants, func(a, b BorrowedGrant) int { return int(min(1, max(-1, a.End-b.End))) })
 	return BorrowedGrants{grants}
 }
--- a/pkg/limiter/fleet_test.go
+++ b/pkg/limiter/fleet_test.go
@@ -13,7 +13,7 @@
 	"geraniumladder/pkg/limiter"
 )
 
-const grantLife = time.Second
+const grantTTL = time.Second
 
 // entry is one incarnation of a simulated entry, with its own clock.
 type entry struct {
@@ -77,8 +77,8 @@
 		alive:          true,
 		openAdmissions: map[string]*admission{},
 	}
-	e.epoch = limiter.NewEpoch(limiter.EpochConfig{Self: e.name, GrantTTL: grantLife})
-	policy := limiter.Policy{GrantTTL: grantLife, DemandTimeConstant: time.Second, NoDeposits: rapid.Bool().Draw(f.t, "no deposits")}
+	e.epoch = limiter.NewEpoch(limiter.EpochConfig{Self: e.name, GrantTTL: grantTTL})
+	policy := limiter.Policy{GrantTTL: grantTTL, DemandTimeConstant: time.Second, NoDeposits: rapid.Bool().Draw(f.t, "no deposits")}
 	e.account = limiter.NewAccount(f.config, policy).WithShare(0, 1, f.local(e))
 	f.entries = append(f.entries, e)
 }
@@ -163,7 +163,7 @@
 	e.account = e.account.WithLoanRequested(id, lender.name, now)
 	f.messages = append(f.messages, message{lender, func(now time.Duration) {
 		var lent, left float64
-		lender.account, lent, left = lender.account.Lend(id, n, now, grantLife)
+		lender.account, lent, left = lender.account.Lend(id, n, now, grantTTL)
 		f.messages = append(f.messages, message{e, func(now time.Duration) {
 			var reports []limiter.GrantReport
 			e.account, reports = e.account.WithLoanReply(id, lent, left, now)
@@ -216,7 +216,7 @@
 
 func (f *fleet) step() {
 	f.now += rapid.SampledFrom([]time.Duration{0, 0, 0, time.Millisecond, 30 * time.Millisecond,
-		300 * time.Millisecond, 950 * time.Millisecond, grantLife}).Draw(f.t, "dt")
+		300 * time.Millisecond, 950 * time.Millisecond, grantTTL}).Draw(f.t, "dt")
 	e := f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(f.t, "entry")]
 	action := rapid.SampledFrom(schedules[f.schedule]).Draw(f.t, "action")
 	if action <= 3 && len(f.messages) > 0 { // Deliver, duplicate or lose a message.
@@ -316,21 +316,21 @@
 // Guards against a lender with the fastest permitted clock releasing a grant while a borrower with the slowest
 // permitted clock can still spend it.
 func TestLenderHoldsGrantUntilBorrowerExpiry(t *testing.T) {
-	for _, life := range []time.Duration{1, time.Millisecond, time.Second, time.Hour} {
-		borrower := float64(life) / (1 - limiter.ClockDrift)
-		lender := float64(limiter.PadForClockDrift(life)) / (1 + limiter.ClockDrift)
-		assert.Assert(t, borrower <= lender, "%s", life)
+	for _, ttl := range []time.Duration{1, time.Millisecond, time.Second, time.Hour} {
+		borrower := float64(ttl) / (1 - limiter.ClockDrift)
+		lender := float64(limiter.PadForClockDrift(ttl)) / (1 + limiter.ClockDrift)
+		assert.Assert(t, borrower <= lender, "%s", ttl)
 	}
 }
 
 // Guards against a share growing while a grant of a removed member can still be spent, and against an epoch being
 // acknowledged while grants lent under the larger share are open.
 func TestShareGrowthAfterMemberDropped(t *testing.T) {
-	e := limiter.NewEpoch(limiter.EpochConfig{Self: "a", GrantTTL: grantLife}).WithEpoch(1, []string{"a", "b", "c"}, 0).Advance(0)
-	e = e.WithEpoch(2, []string{"a", "b"}, time.Minute).WithAck("b", 2).Advance(time.Minute + grantLife)
+	e := limiter.NewEpoch(limiter.EpochConfig{Self: "a", GrantTTL: grantTTL}).WithEpoch(1, []string{"a", "b", "c"}, 0).Advance(0)
+	e = e.WithEpoch(2, []string{"a", "b"}, time.Minute).WithAck("b", 2).Advance(time.Minute + grantTTL)
 	num, den := e.Share()
 	assert.Assert(t, num == 1 && den == 3, "grew to %d/%d while a grant of c may be open", num, den)
-	num, den = e.Advance(time.Minute + limiter.PadForClockDrift(grantLife)).Share()
+	num, den = e.Advance(time.Minute + limiter.PadForClockDrift(grantTTL)).Share()
 	assert.Assert(t, num == 1 && den == 2, "%d/%d", num, den)
 
 	b := limiter.New(limiter.Config{Rate: 1, Burst: 100}).WithShare(1, 1, 0)
@@ -347,7 +347,7 @@
 	const maxMembers = 6
 	rapid.Check(t, func(t *rapid.T) {
 		c := limiter.Config{Rate: 60, Burst: 600}
-		e := limiter.NewEpoch(limiter.EpochConfig{Self: "self", GrantTTL: grantLife}).WithEpoch(1, []string{"self"}, 0).Advance(0)
+		e := limiter.NewEpoch(limiter.EpochConfig{Self: "self", GrantTTL: grantTTL}).WithEpoch(1, []string{"self"}, 0).Advance(0)
 		b := limiter.New(c).WithShare(1, 1, 0)
 		minimum := limiter.New(c).WithShare(1, maxMembers, 0)
 		var now time.Duration
@@ -368,8 +368,8 @@
 				e = e.WithDead(rapid.SampledFrom([]string{"self", "m1", "m2"}).Draw(t, "dead"))
 			case 3: // A loan that the entry chooses to make reduces both buckets equally.
 				n := min(minimum.Advance(now).Level(), tokens(t, c.Burst/maxMembers, "lent"))
-				b, _ = b.Lend(id, n, now, now+grantLife)
-				minimum, _ = minimum.Lend(id, n, now, now+grantLife)
+				b, _ = b.Lend(id, n, now, now+grantTTL)
+				minimum, _ = minimum.Lend(id, n, now, now+grantTTL)
 			case 4:
 				n := tokens(t, c.Burst/maxMembers, "tokens")
 				var expected, got limiter.Decision
--- a/pkg/limiter/replicated_bucket_test.go
+++ b/pkg/limiter/replicated_bucket_test.go
@@ -142,8 +142,8 @@
 	tally = tally.Refund(800, full)
 	assert.Equal(t, tally.Level(full), 1000.0)
 	assert.Equal(t, tally.Refund(5000, full).Level(full), 1000.0)
-	_, told := tally.MarkReported()
-	assert.Equal(t, told, 0.0)
+	_, reported := tally.MarkReported()
+	assert.Equal(t, reported, 0.0)
 }
 
 // Guards against a limit so small that no entry's share allows a single request.
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -142,14 +142,14 @@
 
 // record is the table's state for one VM.
 type record[D any] struct {
-	vm          string
-	incarnation string
-	address     string
-	state       State // Starting, Live or Leaving; Leaving is final for the incarnation
-	sequence    int64
-	lastHeard   time.Duration
-	hash        string
-	descriptor  Descriptor[D]
+	vm            string
+	incarnation   string
+	address       string
+	state         State // Starting, Live or Leaving; Leaving is final for the incarnation
+	sequence      int64
+	lastHeartbeat time.Duration
+	hash          string
+	descriptor    Descriptor[D]
 	// list is the VM's most recent list entry. listed means that the VM is on the most recent list, and wasListed that it
 	// has been on any list.
 	list              ListedVM
@@ -207,7 +207,7 @@
 	case h.Incarnation < next.incarnation || h.Sequence <= next.sequence:
 		return t, Reply{Dropped: true}, nil
 	}
-	next.sequence, next.lastHeard, next.address = h.Sequence, max(next.lastHeard, now), h.Address
+	next.sequence, next.lastHeartbeat, next.address = h.Sequence, max(next.lastHeartbeat, now), h.Address
 	if next.state != Leaving {
 		next.state = h.State
 	}
@@ -260,7 +260,7 @@
 // Their incarnations are kept until then, so that a delayed message cannot make a member that has left live again.
 func (t Table[D]) WithoutForgotten(now time.Duration) Table[D] {
 	t.records = slices.DeleteFunc(slices.Clone(t.records), func(r *record[D]) bool {
-		return !r.listed && now-r.lastHeard >= 10*t.config.ForgetAfter
+		return !r.listed && now-r.lastHeartbeat >= 10*t.config.ForgetAfter
 	})
 	return t
 }
@@ -298,7 +298,7 @@
 		}
 		return m
 	}
-	m.Silence = max(now-r.lastHeard, 0)
+	m.Silence = max(now-r.lastHeartbeat, 0)
 	silent := m.Silence >= t.config.SuspectAfter
 	switch {
 	case m.Silence >= t.config.ForgetAfter, silent && r.wasListed && !r.listed:
--- a/pkg/tracker/tracker_test.go
+++ b/pkg/tracker/tracker_test.go
@@ -111,13 +111,13 @@
 			}
 		}
 		table := tracker.New[string](config)
-		var now, heard time.Duration
+		var now, newestAt time.Duration
 		hasLeft := map[string]bool{}
 		newest := heartbeat{}
 		for range rapid.IntRange(1, 40).Draw(t, "deliveries") {
 			now += time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond
-			if newest.VM != "" && now-heard >= config.SuspectAfter {
-				assert.Assert(t, stateOf(table, now) != tracker.Live, "live after %s without heartbeats", now-heard)
+			if newest.VM != "" && now-newestAt >= config.SuspectAfter {
+				assert.Assert(t, stateOf(table, now) != tracker.Live, "live after %s without heartbeats", now-newestAt)
 			}
 			h := rapid.SampledFrom(sent).Draw(t, "message")
 			var err error
@@ -125,13 +125,13 @@
 			assert.NilError(t, err)
 			if newest.VM == "" || slices.Compare([]string{h.Incarnation}, []string{newest.Incarnation}) > 0 ||
 				h.Incarnation == newest.Incarnation && h.Sequence > newest.Sequence {
-				newest, heard = h, now
+				newest, newestAt = h, now
 				hasLeft[h.Incarnation] = hasLeft[h.Incarnation] || h.State == tracker.Leaving
 			}
 			m, _ := table.Member("vm1", now)
 			assert.Equal(t, m.Incarnation, newest.Incarnation)
 			assert.Assert(t, m.State != tracker.Live || !hasLeft[m.Incarnation], "a leaving member became live again")
-			if now == heard && !hasLeft[m.Incarnation] {
+			if now == newestAt && !hasLeft[m.Incarnation] {
 				assert.Equal(t, m.State, newest.State)
 			}
 		}
