Name the time that a caller without a timeout is taken to wait

Cause: a bare minute in the admission by delay made a reader wonder. Change: a named constant with the same value. Result: the package's tests and the linter pass.

--- a/internal/forwarder/delay.go
+++ b/internal/forwarder/delay.go
@@ -14,6 +14,9 @@
 // delayProbeInterval is the interval at which MeasureDelay measures the delay of the process.
 const delayProbeInterval = 40 * time.Millisecond
 
+// patientCaller is the time that a caller without a timeout is taken to wait.
+const patientCaller = time.Minute
+
 // MeasureDelay measures, until ctx is cancelled, how long this process is behind: how much later than due a goroutine
 // runs that waits for its turn among those of the requests. ServeHTTP rejects requests while the delay stands.
 func (f *Forwarder) MeasureDelay(ctx context.Context) error {
@@ -60,7 +63,7 @@
 	s := f.shedder
 	f.mu.Unlock()
 	if remaining <= 0 {
-		remaining = time.Minute
+		remaining = patientCaller
 	}
 	if ok, after := f.config.Shedding.Admit(s, now, remaining); !ok {
 		return s.Delay(now), refuseUnavailable("overloaded", after)
