Log the prompt's parts and the events received when an attempt ends

Cause: the lines of lost attempts could not tell a common part from a cascade. Change: forwarder: attempt ended carries Parts (IDs of the prompt's segments) and Events (complete events of that attempt).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -217,6 +217,7 @@
 		return refuseUnavailable(reasonCallerLeft, 0), false
 	}
 	x.sendCount++
+	x.attemptEvents = 0
 	a := x.attempt(key, conn)
 	f.addAttempt(e, a)
 	defer func() {
@@ -422,6 +423,7 @@
 	if end := completeEventsLen(r.buffer); end > 0 {
 		// Bytes that complete no event are no progress: a faulty endpoint may send one now and then without end.
 		r.a.recordProgress(r.x.f.config.Now())
+		r.x.attemptEvents += bytes.Count(r.buffer[:end], eventEnd)
 		if failure := r.forwardEvents(r.buffer[:end]); failure != nil {
 			return failure
 		}
@@ -467,10 +469,12 @@
 	return errors.Wrap(flusher.Flush(), "write response to caller")
 }
 
+var eventEnd = []byte("\n\n")
+
 // completeEventsLen returns the length of the complete events at the start of the buffer.
 func completeEventsLen(buffer []byte) int {
-	if i := bytes.LastIndex(buffer, []byte("\n\n")); i >= 0 {
-		return i + 2
+	if i := bytes.LastIndex(buffer, eventEnd); i >= 0 {
+		return i + len(eventEnd)
 	}
 	return 0
 }
@@ -504,8 +508,8 @@
 
 func (x *exchange) logAttempt(e *endpoint, outcome, reason string) {
 	x.f.config.Log.Info().Str("Request", x.call.ID).Str("Endpoint", e.ID).Str("Outcome", outcome).Str("Reason", reason).
-		Int("Sends", x.sendCount).Bool("MayHaveRun", x.mayHaveRun).Dur("After", x.f.config.Now().Sub(x.arrivedAt)).
-		Msg("forwarder: attempt ended")
+		Int("Sends", x.sendCount).Bool("MayHaveRun", x.mayHaveRun).Int("Events", x.attemptEvents).Strs("Parts", x.call.partIDs()).
+		Dur("After", x.f.config.Now().Sub(x.arrivedAt)).Msg("forwarder: attempt ended")
 }
 
 // handleNotSent handles an attempt that failed before anything was sent, so that another endpoint may be tried.
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -36,6 +36,15 @@
 	LastEvent string
 }
 
+// partIDs returns the IDs of the segments of the prompt for the log.
+func (c *Call) partIDs() []string {
+	ids := make([]string, len(c.Parts))
+	for i, p := range c.Parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // Dispatch is the information that one attempt adds to the headers of the caller's request.
 type Dispatch struct {
 	EndpointID   string
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -190,6 +190,8 @@
 	// isRetryCharged means that the next retry has already been taken from the service's retry budget, because
 	// CheckLiveness does so before it abandons an attempt.
 	isRetryCharged bool
+	// attemptEvents counts the complete events that the current attempt has received.
+	attemptEvents int
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// lastEvent is the ID of the last event of the stream that was sent to the caller. wroteHeader is true once the
