Block the part of a prompt that ends the endpoints which answer it

Cause: an entry forgot what an endpoint had been answering when it ended, so that every such request was a fresh one for a fresh endpoint. Nothing connected them but the part, and no entry saw more than a few of the crashes.

Change: pkg/quarantiner, a pure decision. Requests that an endpoint had not answered when it ended are suspects; an answered request acquits its parts; the part that explains most of the crashes is blocked after three separate ones for a minute after the last, then probed. Parts that always come together are blocked only together. Entries exchange crashes and acquittals in their messages, so that each comes to the same blocks and one that restarts learns them. An endpoint counts as ended only if its sidecar, its address or its next run says so, not for a broken connection. Blocked requests are refused as not run with the rest of the block as Retry-After; those queued at endpoints are ended.

Why it works: the culprit is never answered and is in every crash, whereas any other part is acquitted by the sound requests that have it.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +50,10 @@
 // attemptOnce makes one attempt. It returns true when the caller has its response, and a refusal when no further attempt
 // is possible. If it returns nil and false, another attempt should be made.
 func (x *exchange) attemptOnce(ctx context.Context) (*Refusal, bool) {
+	x.isProbe = false
+	if refusal := x.refuseBlocked(); refusal != nil {
+		return refusal, false
+	}
 	e, refusal := x.acquireEndpoint(ctx)
 	if refusal != nil {
 		return refusal, false
@@ -216,14 +221,19 @@
 	if hasCallerLeft(x.r) {
 		return refuseUnavailable(reasonCallerLeft, 0), false
 	}
+	// The parts may have been blocked while the request waited for its adapter.
+	if refusal := x.refuseBlocked(); refusal != nil {
+		return refusal, false
+	}
 	x.sendCount++
-	x.attemptEvents = 0
+	x.attemptEvents, x.attemptFirstEventAt, x.hasBegun, x.isProven = 0, time.Time{}, false, false
 	a := x.attempt(key, conn)
 	f.addAttempt(e, a)
 	defer func() {
 		f.removeAttempt(e, a)
 		x.isRetryCharged = a.isAbandoned.Load()
 	}()
+	x.current = a
 	err = conn.Send(request)
 	if errors.Is(err, connector.ErrNotSent) {
 		return x.handleNotSent(ctx, e, "send", err, true)
@@ -244,7 +254,7 @@
 		}
 		return x.handleNotRun(ctx, e, info, response.StatusCode)
 	}
-	x.mayHaveRun = true
+	x.mayHaveRun, x.hasBegun = true, true
 	if x.route.Kind == registrar.Stream && response.StatusCode == http.StatusOK {
 		release := func() bool {
 			reuse = stop()
@@ -259,6 +269,7 @@
 	if reuse = stop(); reuse {
 		conn.Release(response)
 	}
+	x.recordAnswered(response.StatusCode < http.StatusInternalServerError)
 	return x.handleBuffered(e, &bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
 }
 
@@ -393,6 +404,7 @@
 			if release() {
 				a.conn.Release(response)
 			}
+			x.recordAnswered(true)
 			x.writeHeader(response)
 			x.f.config.Observer.Request(x.organisationName(), "answered")
 			x.logOutcome("answered", response.StatusCode)
@@ -423,7 +435,12 @@
 	if end := completeEventsLen(r.buffer); end > 0 {
 		// Bytes that complete no event are no progress: a faulty endpoint may send one now and then without end.
 		r.a.recordProgress(r.x.f.config.Now())
+		if r.x.attemptEvents == 0 {
+			r.x.attemptFirstEventAt = r.x.f.config.Now()
+			r.a.hasEvents.Store(true)
+		}
 		r.x.attemptEvents += bytes.Count(r.buffer[:end], eventEnd)
+		r.x.recordAnswered(false)
 		if failure := r.forwardEvents(r.buffer[:end]); failure != nil {
 			return failure
 		}
@@ -518,6 +535,10 @@
 		return refuseUnavailable("timeout-waiting", 0), false
 	}
 	x.recordOutcome(e, true, isUnreachable)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		x.f.fleet.recordRefused(e)
+		x.f.reportCrashes()
+	}
 	x.excluded[incarnation{id: e.ID, born: e.Born}] = true
 	x.logAttempt(e, "not-sent", stage+": "+err.Error())
 	return nil, false
@@ -529,6 +550,11 @@
 	if ctx.Err() != nil {
 		return gatewayTimeout(), false
 	}
+	if x.current != nil && x.current.isBlocked.Load() {
+		x.logAttempt(e, "lost", "a part of the prompt was blocked")
+		return badGateway(reasonBlockedPart), false
+	}
+	x.recordUnanswered(e, err)
 	reason := stage
 	if err != nil {
 		reason += ": " + err.Error()
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -32,6 +32,8 @@
 	Parts []PromptPart
 	// prefixHashes holds a hash of each prefix of Parts. The Forwarder computes it once.
 	prefixHashes []uint64
+	// sharedParts holds the IDs of the Parts that other requests may have too: all but the last. The Forwarder sets it.
+	sharedParts []string
 	// LastEvent is the ID of the last event that the caller received of an interrupted stream; empty for a new stream.
 	LastEvent string
 }
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -54,6 +54,10 @@
 	// isSuperseded means that a newer incarnation has the address, so this one has ended. Its registration may still
 	// exist.
 	isSuperseded bool
+	// hasEnded means that this incarnation is known to have ended, and lost holds the attempts that it had not answered
+	// when their connections ended, until that is known.
+	hasEnded bool
+	lost     []lostAttempt
 	// attempts are the attempts in progress.
 	attempts map[*attempt]struct{}
 	// resident maps the adapters that the engine is expected to hold to their versions, and loading those being loaded.
@@ -111,6 +115,8 @@
 	byService     map[string][]*endpoint
 	byAddress     map[string]*endpoint
 	versions      map[registrar.AdapterKey]int64
+	// crashes holds the crashes that takeCrashes has not returned yet.
+	crashes []endpointCrash
 }
 
 func newFleet(domain string, now func() time.Time) *fleet {
@@ -153,19 +159,25 @@
 		f.byService[r.Service] = append(f.byService[r.Service], e)
 	}
 	for _, e := range f.byIncarnation {
-		if e.Born != 0 && e.Born < f.byAddress[e.Address].Born && e.supersede() {
+		if e.Born != 0 && e.Born < f.byAddress[e.Address].Born && f.supersede(e) {
 			superseded = append(superseded, e.ID)
 		}
 	}
+	for key, e := range old {
+		if next := f.byAddress[e.Address]; f.byIncarnation[key] == nil && next != nil && next.Born > e.Born {
+			f.markEnded(e)
+		}
+	}
 	return superseded
 }
 
 // supersede marks the endpoint as superseded and reports whether it was not marked before.
-func (e *endpoint) supersede() bool {
+func (f *fleet) supersede(e *endpoint) bool {
 	if e.isSuperseded {
 		return false
 	}
 	e.isSuperseded = true
+	f.markEnded(e)
 	e.notifyChanged()
 	return true
 }
@@ -204,7 +216,7 @@
 		return ""
 	}
 	if e.Born != 0 && s.Born != 0 && e.Born != s.Born {
-		if e.Born < s.Born && e.supersede() {
+		if e.Born < s.Born && f.supersede(e) {
 			return e.ID
 		}
 		return ""
@@ -223,6 +235,11 @@
 			}
 		}
 	}
+	if s.IsDown {
+		f.markEnded(e)
+	} else {
+		e.hasEnded = false
+	}
 	e.othersPendingPrefill = max(0, float64(s.UnreadTokens)-e.reportedPrefill)
 	e.state, e.stateAt, e.sentSinceReport = s, f.now(), 0
 	e.state.Adapters = nil
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -80,9 +80,11 @@
 	Selector   selector.Config
 	// Shedding decides which requests are rejected while the process is behind; the default is shedder.Standing.
 	Shedding shedder.Policy
-	Now      func() time.Time
-	Seed     uint64
-	Log      zerolog.Logger
+	// OnEvidence, if set, is called when CrashEvidence has changed and should be sent to the other entries soon.
+	OnEvidence func()
+	Now        func() time.Time
+	Seed       uint64
+	Log        zerolog.Logger
 }
 
 // Forwarder is an http.Handler for callers. It is safe for concurrent use.
@@ -90,6 +92,7 @@
 	config        Config
 	configuration atomic.Pointer[registrar.Configuration]
 	fleet         *fleet
+	quarantine    *quarantine
 	start         time.Time
 	retry         atomic.Pointer[retrier.Config]
 	leaving       atomic.Bool
@@ -112,8 +115,9 @@
 	if c.Shedding == nil {
 		c.Shedding = shedder.Standing{}
 	}
+	start := c.Now()
 	f := &Forwarder{
-		config: c, fleet: newFleet(c.Domain, c.Now), start: c.Now(), retryBudgets: map[string]*retryBudget{},
+		config: c, fleet: newFleet(c.Domain, c.Now), quarantine: newQuarantine(start, c.Now, c.Log), start: start, retryBudgets: map[string]*retryBudget{},
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
 	f.SetRetry(c.Retry)
@@ -144,6 +148,7 @@
 	for _, id := range f.fleet.setEndpoints(list, f.configuration.Load()) {
 		f.logSuperseded(id)
 	}
+	f.reportCrashes()
 }
 
 func (f *Forwarder) logSuperseded(endpoint string) {
@@ -160,6 +165,7 @@
 	if id := f.fleet.setState(s); id != "" {
 		f.logSuperseded(id)
 	}
+	f.reportCrashes()
 }
 
 // Leave adds "Connection: close" to further responses, so that callers connect to other entries.
@@ -190,8 +196,17 @@
 	// isRetryCharged means that the next retry has already been taken from the service's retry budget, because
 	// CheckLiveness does so before it abandons an attempt.
 	isRetryCharged bool
-	// attemptEvents counts the complete events that the current attempt has received.
-	attemptEvents int
+	// attemptEvents counts the complete events that the current attempt has received, the first one at
+	// attemptFirstEventAt.
+	attemptEvents       int
+	attemptFirstEventAt time.Time
+	// hasBegun means that the current attempt has received a response head, and isProven that its answer counts as
+	// begun without harm to the endpoint.
+	hasBegun, isProven bool
+	// isProbe means that the request is sent although a part of its prompt was blocked until now.
+	isProbe bool
+	// current is the current or the last attempt; nil before the first.
+	current *attempt
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// lastEvent is the ID of the last event of the stream that was sent to the caller. wroteHeader is true once the
@@ -236,6 +251,7 @@
 	// The request has waited for about as long as the process is behind.
 	x.arrivedAt = x.arrivedAt.Add(-delay)
 	x.call.prefixHashes = prefixHashes(x.call.Parts)
+	x.call.sharedParts = x.call.partIDs()[:max(0, len(x.call.Parts)-1)]
 	if refusal := x.prepare(); refusal != nil {
 		x.refuse(refusal)
 		return
@@ -453,9 +469,10 @@
 // ChangedDemands returns the demands that have changed and should be sent to the sidecars soon.
 func (f *Forwarder) ChangedDemands() []EngineDemand { return f.fleet.dirtyDemands() }
 
-// Prune closes pooled connections to endpoints that are no longer listed and removes outdated usage records. It must be
+// Prune closes pooled connections to endpoints that are no longer listed and removes outdated usage records and expired evidence on crashes. It must be
 // called periodically.
 func (f *Forwarder) Prune() {
 	f.config.Pool.Prune(f.fleet.hasAddress)
 	f.fleet.pruneUsage()
+	f.quarantine.prune()
 }
--- a/internal/forwarder/liveness.go
+++ b/internal/forwarder/liveness.go
@@ -27,6 +27,12 @@
 	callerDeadline time.Time
 	// lastProgress is the time when bytes last arrived, in Unix nanoseconds; initially the time of sending.
 	lastProgress atomic.Int64
+	// parts are the shared parts of the request's prompt.
+	parts []string
+	// hasEvents is set once an event has arrived.
+	hasEvents atomic.Bool
+	// isBlocked is set, before the connection is closed, when a part of the prompt has been blocked.
+	isBlocked atomic.Bool
 	// isAbandoned is set, before the connection is closed, when a retry has already been taken from the service's budget.
 	isAbandoned atomic.Bool
 }
@@ -39,6 +45,7 @@
 	}
 	a := &attempt{
 		requestID: x.call.ID, service: x.service, conn: conn, isRetryable: x.route.IsIdempotent() && sentTo < x.route.Attempts, callerDeadline: x.deadline,
+		parts: x.call.sharedParts,
 	}
 	a.recordProgress(x.f.config.Now())
 	return a
--- /dev/null
+++ b/internal/forwarder/quarantine.go
@@ -0,0 +1,334 @@
+package forwarder
+
+import (
+	"hash/fnv"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/placer"
+	"geraniumladder/pkg/quarantiner"
+)
+
+const (
+	// proofTime is how long an endpoint must go on after the first event of an answer before the request counts as
+	// answered.
+	proofTime = 100 * time.Millisecond
+	// lostRetention is how long a lost attempt is kept until the end of its endpoint is known.
+	lostRetention = 10 * time.Second
+	// maxLostAttempts limits the lost attempts that are kept for one endpoint.
+	maxLostAttempts = 64
+	// maxEvidence limits the suspects and the acquittals in one message.
+	maxEvidence = 128
+	// probeStagger is the time between the probes of two entries for a part whose block has ended.
+	probeStagger = 2 * time.Second
+)
+
+// quarantine is this entry's evidence on parts of prompts that end endpoints. It is safe for concurrent use.
+type quarantine struct {
+	now func() time.Time
+	log zerolog.Logger
+	// start is the origin of the times in state.
+	start time.Time
+
+	mu    sync.Mutex
+	state quarantiner.Quarantiner[string]
+	// logged holds the blocks that were logged last, by their parts.
+	logged map[string]bool
+}
+
+func newQuarantine(start time.Time, now func() time.Time, log zerolog.Logger) *quarantine {
+	return &quarantine{now: now, log: log, start: start, state: quarantiner.New[string](quarantiner.Config{}), logged: map[string]bool{}}
+}
+
+func (q *quarantine) elapsed() time.Duration { return q.now().Sub(q.start) }
+
+// admit decides whether a request with the parts may be sent. If not, it returns the time after which it may be.
+func (q *quarantine) admit(parts []string, stagger time.Duration) (ok, isProbe bool, after time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.state.IsBlocked(parts) {
+		return true, false, 0
+	}
+	q.state, ok, after = q.state.Admit(parts, q.elapsed(), stagger)
+	return ok, ok, after
+}
+
+func (q *quarantine) isBlocked(parts []string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.IsBlocked(parts)
+}
+
+// acquit records that a request with the parts was answered.
+func (q *quarantine) acquit(parts []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.elapsed()
+	for _, part := range parts {
+		q.state = q.state.WithAcquittal(part, now)
+	}
+	q.logBlocks()
+}
+
+// addCrashes adds crashes that this entry has observed and reports whether there are new blocks.
+func (q *quarantine) addCrashes(crashes []endpointCrash) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range crashes {
+		q.state = q.state.WithCrash(quarantiner.Crash[string]{Endpoint: c.incarnation.String(), At: c.at.Sub(q.start), Suspects: c.suspects})
+		q.log.Warn().Str("Endpoint", c.incarnation.id).Dur("Ago", q.now().Sub(c.at)).Int("Suspects", len(c.suspects)).
+			Msg("forwarder: endpoint ended with requests that it had not answered")
+	}
+	return q.logBlocks()
+}
+
+// merge adds what another entry knows and reports whether there are new blocks.
+func (q *quarantine) merge(crashes []wire.EndpointCrash, acquittals []wire.PartAcquittal) bool {
+	if len(crashes) == 0 && len(acquittals) == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.elapsed()
+	knownCrashes := make([]quarantiner.Crash[string], len(crashes))
+	for i, c := range crashes {
+		knownCrashes[i] = quarantiner.Crash[string]{Endpoint: c.Incarnation, At: now - time.Duration(c.AgeMilliseconds)*time.Millisecond}
+		for _, s := range c.Suspects {
+			knownCrashes[i].Suspects = append(knownCrashes[i].Suspects, quarantiner.Suspect[string]{Parts: s.Parts, HasBegun: s.HasBegun})
+		}
+	}
+	knownAcquittals := make([]quarantiner.Acquittal[string], len(acquittals))
+	for i, a := range acquittals {
+		knownAcquittals[i] = quarantiner.Acquittal[string]{Part: a.Part, At: now - time.Duration(a.AgeMilliseconds)*time.Millisecond}
+	}
+	q.state = q.state.WithEvidence(knownCrashes, knownAcquittals)
+	return q.logBlocks()
+}
+
+// prune removes the evidence that no longer counts.
+func (q *quarantine) prune() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.state = q.state.WithoutExpired(q.elapsed())
+	q.logBlocks()
+}
+
+// logBlocks logs the blocks that have begun or ended and reports whether one has begun.
+func (q *quarantine) logBlocks() bool {
+	isNew := false
+	blocks := q.state.Blocks()
+	current := make(map[string]bool, len(blocks))
+	for _, b := range blocks {
+		key := strings.Join(b.Parts, ",")
+		current[key] = true
+		if !q.logged[key] {
+			isNew = true
+			q.log.Warn().Strs("Parts", b.Parts).Int("Crashes", b.Crashes).Dur("For", b.Until-q.elapsed()).Msg("forwarder: parts of prompts blocked")
+		}
+	}
+	for key := range q.logged {
+		if !current[key] {
+			q.log.Info().Str("Parts", key).Msg("forwarder: parts of prompts no longer blocked")
+		}
+	}
+	q.logged = current
+	return isNew
+}
+
+// evidence returns what the other entries need to know.
+func (q *quarantine) evidence() ([]wire.EndpointCrash, []wire.PartAcquittal) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.elapsed()
+	known, acquitted := q.state.Evidence(maxEvidence)
+	crashes := make([]wire.EndpointCrash, len(known))
+	for i, c := range known {
+		crashes[i] = wire.EndpointCrash{Incarnation: c.Endpoint, AgeMilliseconds: (now - c.At).Milliseconds(), Suspects: []wire.CrashSuspect{}}
+		for _, s := range c.Suspects {
+			crashes[i].Suspects = append(crashes[i].Suspects, wire.CrashSuspect{Parts: s.Parts, HasBegun: s.HasBegun})
+		}
+	}
+	acquittals := make([]wire.PartAcquittal, len(acquitted))
+	for i, a := range acquitted {
+		acquittals[i] = wire.PartAcquittal{Part: a.Part, AgeMilliseconds: (now - a.At).Milliseconds()}
+	}
+	return crashes, acquittals
+}
+
+func (i incarnation) String() string { return i.id + "@" + strconv.FormatInt(i.born, 10) }
+
+// endpointCrash is the end of an endpoint that had requests which it had not answered.
+type endpointCrash struct {
+	incarnation incarnation
+	at          time.Time
+	suspects    []quarantiner.Suspect[string]
+}
+
+// lostAttempt is a request that an endpoint had not answered when the connection ended.
+type lostAttempt struct {
+	at      time.Time
+	suspect quarantiner.Suspect[string]
+}
+
+// recordLost keeps a lost attempt until it is known whether its endpoint has ended.
+func (f *fleet) recordLost(e *endpoint, l lostAttempt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(e.lost) < maxLostAttempts {
+		e.lost = append(e.lost, l)
+	}
+	if e.hasEnded {
+		f.reportEnd(e)
+	}
+}
+
+// recordRefused records that nothing listens at the address of the endpoint.
+func (f *fleet) recordRefused(e *endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.markEnded(e)
+}
+
+// markEnded records that the incarnation has ended.
+func (f *fleet) markEnded(e *endpoint) {
+	e.hasEnded = true
+	f.reportEnd(e)
+}
+
+// reportEnd adds the lost attempts of an endpoint that has ended to the crashes.
+func (f *fleet) reportEnd(e *endpoint) {
+	c := endpointCrash{incarnation: incarnation{id: e.ID, born: e.Born}}
+	for _, l := range e.lost {
+		if f.now().Sub(l.at) > lostRetention {
+			continue
+		}
+		if c.at.IsZero() || l.at.Before(c.at) {
+			c.at = l.at
+		}
+		c.suspects = append(c.suspects, l.suspect)
+	}
+	e.lost = nil
+	if len(c.suspects) > 0 {
+		f.crashes = append(f.crashes, c)
+	}
+}
+
+// takeCrashes returns the crashes since the last call.
+func (f *fleet) takeCrashes() []endpointCrash {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	crashes := f.crashes
+	f.crashes = nil
+	return crashes
+}
+
+// reportCrashes adds the crashes that the fleet has found to the evidence, and tells the other entries soon.
+func (f *Forwarder) reportCrashes() {
+	crashes := f.fleet.takeCrashes()
+	if len(crashes) == 0 {
+		return
+	}
+	if f.quarantine.addCrashes(crashes) {
+		f.abandonBlocked()
+	}
+	if f.config.OnEvidence != nil {
+		f.config.OnEvidence()
+	}
+}
+
+// CrashEvidence returns what this entry knows of parts of prompts that end endpoints, for the other entries.
+func (f *Forwarder) CrashEvidence() ([]wire.EndpointCrash, []wire.PartAcquittal) {
+	return f.quarantine.evidence()
+}
+
+// AddCrashEvidence adds what another entry knows.
+func (f *Forwarder) AddCrashEvidence(crashes []wire.EndpointCrash, acquittals []wire.PartAcquittal) {
+	if f.quarantine.merge(crashes, acquittals) {
+		f.abandonBlocked()
+	}
+}
+
+// abandonBlocked ends the attempts whose requests have been blocked since they were sent, before the endpoints begin to
+// answer them.
+func (f *Forwarder) abandonBlocked() {
+	for _, a := range f.fleet.unansweredAttempts() {
+		if len(a.parts) > 0 && f.quarantine.isBlocked(a.parts) {
+			a.isBlocked.Store(true)
+			a.conn.Close()
+		}
+	}
+}
+
+func (f *fleet) unansweredAttempts() []*attempt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*attempt
+	for _, e := range f.byIncarnation {
+		for a := range e.attempts {
+			if !a.hasEvents.Load() {
+				list = append(list, a)
+			}
+		}
+	}
+	return list
+}
+
+// refuseBlocked returns a refusal if a part of the request's prompt is blocked.
+func (x *exchange) refuseBlocked() *Refusal {
+	if x.isProbe || len(x.call.sharedParts) == 0 {
+		return nil
+	}
+	stagger := probeOffset(x.f.config.VM, max(1, x.f.config.EntryCount()))
+	ok, isProbe, after := x.f.quarantine.admit(x.call.sharedParts, stagger)
+	x.isProbe = isProbe
+	if ok {
+		return nil
+	}
+	return refusePart(after)
+}
+
+// probeOffset spreads the probes of the entries over probeStagger for each of them.
+func probeOffset(vm string, entries int) time.Duration {
+	h := fnv.New64a()
+	h.Write([]byte(vm))
+	share := float64(placer.Mix64(h.Sum64())) / math.MaxUint64
+	return time.Duration(share * float64(entries) * float64(probeStagger))
+}
+
+// recordAnswered acquits the parts of the request's prompt once the endpoint has gone on for proofTime after the first
+// event, or the answer is complete.
+func (x *exchange) recordAnswered(isComplete bool) {
+	if x.isProven || len(x.call.sharedParts) == 0 {
+		return
+	}
+	if isComplete || x.f.config.Now().Sub(x.attemptFirstEventAt) >= proofTime {
+		x.isProven = true
+		x.f.quarantine.acquit(x.call.sharedParts)
+	}
+}
+
+// recordUnanswered makes the request a suspect if its endpoint should turn out to have ended.
+func (x *exchange) recordUnanswered(e *endpoint, err error) {
+	if x.isProven || len(x.call.sharedParts) == 0 || !isConnectionEnd(err) {
+		return
+	}
+	x.f.fleet.recordLost(e, lostAttempt{
+		at: x.f.config.Now(), suspect: quarantiner.Suspect[string]{Parts: x.call.sharedParts, HasBegun: x.hasBegun},
+	})
+	x.f.reportCrashes()
+}
+
+// isConnectionEnd reports whether the error is that of a connection which the other side has closed or reset. A
+// connection that times out says nothing about the endpoint's process.
+func isConnectionEnd(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"geraniumladder/internal/forwarder"
 	"geraniumladder/internal/registrar"
@@ -107,3 +109,65 @@
 	}
 	assert.Assert(t, afterFifth <= 3, "%d requests reached endpoints after the fifth had ended", afterFifth)
 }
+
+// TestBlockedPartIsRefusedAsNotRun guards against a request that waits although it can't be served, a refusal without the
+// time of the next try, and requests with the blocked part in the place that belongs to the request itself.
+func TestBlockedPartIsRefusedAsNotRun(t *testing.T) {
+	c := newCrashingFleet(t, 4)
+	for i := range 3 {
+		c.advance(time.Second)
+		assert.Equal(t, c.send(t, "/stream/", "", "Parts", fmt.Sprintf("shared,deadly,own-%d", i)).status, 502)
+		c.restart()
+	}
+	got := c.send(t, "/stream/", "", "Parts", "shared,deadly,own")
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, strings.Contains(got.body, `"IsNotRun":true`), got.body)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 50 && after < 70, "Retry-After: %v", after)
+	assert.Equal(t, c.send(t, "/stream/", "", "Parts", "shared,deadly").status, 200)
+	assert.Equal(t, c.crashCount(), 3)
+
+	c.advance(2 * time.Minute)
+	c.send(t, "/stream/", "", "Parts", "shared,deadly,own")
+	assert.Equal(t, c.crashCount(), 4, "no probe after the end of the block")
+	c.restart()
+	assert.Equal(t, c.send(t, "/stream/", "", "Parts", "shared,deadly,own").status, 503)
+}
+
+// TestBrokenConnectionsBlockNothing guards against taking an endpoint that breaks off answers for one that has ended.
+func TestBrokenConnectionsBlockNothing(t *testing.T) {
+	c := newCrashingFleet(t, 4)
+	for i := range 12 {
+		c.advance(time.Second)
+		c.send(t, "/stream/", "", "Parts", fmt.Sprintf("shared,deadly,own-%d", i))
+	}
+	assert.Equal(t, c.crashCount(), 12)
+}
+
+// TestEvidenceOfOthersBlocks guards against an entry that relies on what it has seen itself, and against requests that
+// stay queued at an endpoint after their part has been blocked.
+func TestEvidenceOfOthersBlocks(t *testing.T) {
+	a, b := newCrashingFleet(t, 4), newCrashingFleet(t, 4)
+	for i := range 3 {
+		b.advance(time.Second)
+		a.advance(time.Second)
+		a.send(t, "/stream/", "", "Parts", fmt.Sprintf("shared,deadly,own-%d", i))
+		a.restart()
+	}
+	b.AddCrashEvidence(a.CrashEvidence())
+	assert.Equal(t, b.send(t, "/stream/", "", "Parts", "shared,deadly,own").status, 503)
+	assert.Equal(t, b.send(t, "/stream/", "", "Parts", "shared,other,own").status, 200)
+	assert.Equal(t, b.crashCount(), 0)
+
+	queued := newEndpoint(t, "queued", func(net.Conn, *http.Request, int) bool {
+		<-t.Context().Done()
+		return false
+	})
+	d := newFixtureWith(t, partsTranslator{}, longRunningClock(), queued)
+	waiting := make(chan reply, 1)
+	go func() { waiting <- d.sendCtx(t.Context(), "/stream/", "", "Parts", "shared,deadly,own") }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return hasRequestCount(queued, 1) })
+	d.AddCrashEvidence(a.CrashEvidence())
+	assert.Equal(t, (<-waiting).status, 502)
+}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -61,6 +61,9 @@
 // reasonCallerLeft ends a request whose caller has closed its connection. No response is written.
 const reasonCallerLeft = "caller-left"
 
+// reasonBlockedPart ends a request with a part of the prompt that ends endpoints.
+const reasonBlockedPart = "blocked-part"
+
 // maxRetryAfter bounds Retry-After, because the limit itself may have changed after a minute.
 const maxRetryAfter = time.Minute
 
@@ -78,6 +81,13 @@
 	}
 }
 
+func refusePart(retryAfter time.Duration) *Refusal {
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Reason: reasonBlockedPart, RetryAfter: retryAfter,
+		Message: "a part of the prompt has ended several endpoints and is blocked; the request has not run, try again later or without that part",
+	}
+}
+
 func badGateway(reason string) *Refusal {
 	return &Refusal{
 		Status: http.StatusBadGateway, Reason: reason,
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -134,7 +134,7 @@
 	e.forwarder = forwarder.New(forwarder.Config{
 		VM: c.VM, Domain: c.Domain, Translator: c.Translator, Pool: connector.New(connector.Config{}),
 		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Retry: c.Tuning.Retry, EntryCount: e.sharer.EntryCount,
-		Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log,
+		Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log, OnEvidence: e.sharer.RequestMessage,
 	})
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: operatorsPollTimeout,
@@ -152,7 +152,10 @@
 	}, func(s wire.EngineState, _ string) { e.forwarder.SetState(s) })
 	gossiper.Handle(g, kindEntryState, func(s wire.EntryState) (string, gossiper.Stamp) {
 		return s.VM, gossiper.Stamp{Boot: s.Boot, Sequence: s.Sequence}
-	}, func(s wire.EntryState, _ string) { e.sharer.HandleMessage(s) })
+	}, func(s wire.EntryState, _ string) {
+		e.sharer.HandleMessage(s)
+		e.forwarder.AddCrashEvidence(s.Crashes, s.Acquittals)
+	})
 	gossiper.Handle(g, kindTableChanges, func(m wire.TableChanges) (string, gossiper.Stamp) {
 		return m.VM + "/" + m.Table, gossiper.Stamp{Boot: m.Boot, Sequence: m.Sequence}
 	}, func(m wire.TableChanges, _ string) { e.handleTableChanges(m) })
@@ -250,6 +253,7 @@
 			e.config.Platform.OperatorsTable(): e.operators.Table().Version,
 			e.config.Platform.EndpointsTable(): e.endpoints.Table().Version,
 		})
+		message.Crashes, message.Acquittals = e.forwarder.CrashEvidence()
 		if len(to) > 0 {
 			e.gossiper.Send(kindEntryState, message, to...)
 		}
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -105,6 +105,14 @@
 // Wake returns a channel that receives a value when a message should be sent to the other entries immediately.
 func (s *Sharer) Wake() <-chan struct{} { return s.wake }
 
+// RequestMessage makes Wake receive a value.
+func (s *Sharer) RequestMessage() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Leave announces in all further messages that this entry is shutting down.
 func (s *Sharer) Leave() {
 	s.mu.Lock()
@@ -163,10 +171,7 @@
 	t, admitted, after := t.Admit(tokens, now)
 	s.tallies[o.Name] = t
 	if t.NeedsReport() {
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
+		s.RequestMessage()
 	}
 	return admitted, after
 }
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -271,6 +271,15 @@
 // ClaimRowState defines model for ClaimRow.State.
 type ClaimRowState string
 
+// CrashSuspect A request that the endpoint had when it ended.
+type CrashSuspect struct {
+	// HasBegun The endpoint had begun to answer it.
+	HasBegun bool `json:"HasBegun"`
+
+	// Parts Parts of its prompt that may be the cause.
+	Parts []string `json:"Parts"`
+}
+
 // Descriptor What a sidecar or entry is and can do; sent in full only when its hash changes.
 type Descriptor struct {
 	// Address HOST:PORT for other processes.
@@ -303,6 +312,16 @@
 // DescriptorRole defines model for Descriptor.Role.
 type DescriptorRole string
 
+// EndpointCrash defines model for EndpointCrash.
+type EndpointCrash struct {
+	// AgeMilliseconds Time since the end of that run.
+	AgeMilliseconds int64 `json:"AgeMilliseconds"`
+
+	// Incarnation Identifies one run of an endpoint.
+	Incarnation string         `json:"Incarnation"`
+	Suspects    []CrashSuspect `json:"Suspects"`
+}
+
 // EndpointView defines model for EndpointView.
 type EndpointView struct {
 	Address       string `json:"Address"`
@@ -407,12 +426,18 @@
 
 // EntryState Sent by each entry to each other one, as one datagram, at a steady interval.
 type EntryState struct {
+	// Acquittals Suspected parts that an endpoint has answered.
+	Acquittals []PartAcquittal `json:"Acquittals,omitempty"`
+
 	// Address HOST:PORT for datagrams and pages of other processes.
 	Address string `json:"Address"`
 
 	// Boot Names one run of the sender's process.
 	Boot string `json:"Boot"`
 
+	// Crashes Ends of endpoints that a part of a prompt may have caused.
+	Crashes []EndpointCrash `json:"Crashes,omitempty"`
+
 	// FailureDomain Empty from a process that doesn't tell.
 	FailureDomain string `json:"FailureDomain,omitempty"`
 
@@ -575,6 +600,13 @@
 	Tokens int64 `json:"Tokens"`
 }
 
+// PartAcquittal defines model for PartAcquittal.
+type PartAcquittal struct {
+	// AgeMilliseconds Time since an endpoint answered a request with the part.
+	AgeMilliseconds int64  `json:"AgeMilliseconds"`
+	Part            string `json:"Part"`
+}
+
 // PeerAddress defines model for PeerAddress.
 type PeerAddress struct {
 	Address string `json:"Address"`
