A stream without a length that ends before its first event is broken off

If its endpoint ended before the first event, an empty answer looked whole. Cause: the end of the connection was taken for the end of the stream whenever no part of an event was left over. Change: without a length, chunks and an event, the attempt is lost. Result: TestUnframedStreamEndsWithItsConnection failed with 200 instead of 502 and passes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -400,7 +400,7 @@
 	for {
 		err := r.next()
 		switch {
-		case errors.Is(err, io.EOF) && len(r.buffer) == 0:
+		case errors.Is(err, io.EOF) && len(r.buffer) == 0 && (x.attemptEvents > 0 || x.wroteHeader || isFramed(response)):
 			if release() {
 				a.conn.Release(response)
 			}
@@ -420,6 +420,12 @@
 	}
 }
 
+// isFramed reports whether the end of the body is marked. Otherwise it ends with the connection, also if the endpoint's
+// process does.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 var errCallerDisconnected = errors.New("caller disconnected")
 
 // next reads once from the endpoint and forwards the complete events.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -547,6 +547,29 @@
 	assert.Equal(t, a.count()+b.count(), 1)
 }
 
+// unframedStream writes a stream that has neither a length nor chunks and ends with its connection.
+func unframedStream(text string) func(c net.Conn, r *http.Request, _ int) bool {
+	return func(c net.Conn, r *http.Request, _ int) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: 1\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), text)
+		return false
+	}
+}
+
+// TestUnframedStreamEndsWithItsConnection guards against a whole stream without a length that looks broken off, and
+// against one that looks whole although its endpoint ended before or inside an event.
+func TestUnframedStreamEndsWithItsConnection(t *testing.T) {
+	whole := newFixture(t, newEndpoint(t, "whole", unframedStream(streamText(1, 6)))).send(t, "/stream/", "")
+	assert.NilError(t, whole.err)
+	assert.Equal(t, whole.body, streamText(1, 6))
+
+	inside := newFixture(t, newEndpoint(t, "inside", unframedStream(streamText(1, 3)+"id: 4\ndata: pi"))).send(t, "/stream/", "")
+	assert.Assert(t, inside.err != nil, "the stream looks complete: %q", inside.body)
+	assert.Equal(t, inside.body, streamText(1, 3))
+
+	empty := newFixture(t, newEndpoint(t, "empty", unframedStream(""))).send(t, "/stream/", "")
+	assert.Equal(t, empty.status, 502, "the stream looks complete: %q", empty.body)
+}
+
 // TestCallerDisconnectClosesEndpointConnection guards against endpoints that continue to work for disconnected callers.
 func TestCallerDisconnectClosesEndpointConnection(t *testing.T) {
 	begun := make(chan struct{})
