Log the limits that endpoints name in their answers

Cause: nothing in the logs said that an endpoint had named a limit, so that an entry that doesn't read it could not be told from one that keeps it alone. Nothing acts on it yet. Result: the package's tests pass; an answer that says not run and names none changes nothing.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -243,7 +243,7 @@
 		return x.handleLost(ctx, e, "send", err)
 	}
 	//nolint:bodyclose // The connection itself is closed or released. Closing the body would read the rest of a stream.
-	response, info, err := x.readResponse(conn)
+	response, info, err := x.readResponse(e, conn)
 	if err != nil {
 		return x.handleLost(ctx, e, "answer", err)
 	}
@@ -308,7 +308,7 @@
 
 // readResponse reads the header of the response that belongs to the request. Responses to earlier requests, which a
 // faulty endpoint may send late or twice, are discarded.
-func (x *exchange) readResponse(conn *connector.Conn) (*http.Response, ResponseInfo, error) {
+func (x *exchange) readResponse(e *endpoint, conn *connector.Conn) (*http.Response, ResponseInfo, error) {
 	for range maxMismatchedResponses {
 		response, err := conn.ReceiveResponse(x.r.Method)
 		if err != nil {
@@ -316,6 +316,7 @@
 		}
 		info := x.f.config.Translator.DecodeResponse(response)
 		if info.RequestID == "" || info.RequestID == x.call.ID {
+			x.f.recordLimit(e, info)
 			return response, info, nil
 		}
 		x.f.config.Log.Warn().Str("Request", x.call.ID).Str("AnswerTo", info.RequestID).
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -70,6 +70,10 @@
 	IsMisdirected bool
 	// EndpointID identifies the endpoint that responded; empty if the response doesn't name it.
 	EndpointID string
+	// RequestLimit is the number of requests a second that the endpoint takes from all entries together, if HasLimit is
+	// set.
+	RequestLimit float64
+	HasLimit     bool
 }
 
 // Translator decodes and encodes the headers that callers and endpoints use.
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -54,6 +54,8 @@
 	// isSuperseded means that a newer incarnation has the address, so this one has ended. Its registration may still
 	// exist.
 	isSuperseded bool
+	// limit is the number of requests a second that the endpoint named in its last answer; -1 if it named none.
+	limit float64
 	// hasEnded means that this incarnation is known to have ended, and lost holds the attempts that it had not answered
 	// when their connections ended, until that is known.
 	hasEnded bool
@@ -140,7 +142,7 @@
 			e = &endpoint{
 				usage: map[registrar.AdapterKey]*adapterUsage{}, resident: map[registrar.AdapterKey]int64{},
 				loading: map[registrar.AdapterKey]int64{}, warm: map[registrar.AdapterKey]time.Time{}, cached: map[prefixKey]time.Time{}, changed: make(chan struct{}),
-				attempts: map[*attempt]struct{}{},
+				attempts: map[*attempt]struct{}{}, limit: -1,
 			}
 		}
 		if e.stateAt.IsZero() || f.now().Sub(e.stateAt) > stateTTL {
