--- /dev/null
+++ b/internal/forwarder/throttle_test.go
@@ -0,0 +1,97 @@
+package forwarder_test
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"geraniumladder/internal/forwarder"
+)
+
+// limitTranslator also decodes the limit that an endpoint names.
+type limitTranslator struct{ translator }
+
+func (limitTranslator) DecodeResponse(r *http.Response) forwarder.ResponseInfo {
+	info := translator{}.DecodeResponse(r)
+	if limit, err := strconv.ParseFloat(r.Header.Get("Limit"), 64); err == nil {
+		info.RequestLimit, info.HasLimit = limit, true
+	}
+	return info
+}
+
+// limitedFleet is a Forwarder with an endpoint that names a limit and one that doesn't, in a time that the test advances.
+type limitedFleet struct {
+	*fixture
+	clock atomic.Int64
+	// limit is the header line of the limited endpoint's answers; it may be empty.
+	limit atomic.Value
+	mu    sync.Mutex
+	// arrivals are the times at which requests reached the limited endpoint.
+	arrivals []time.Duration
+}
+
+func newLimitedFleet(t *testing.T, limit string, withFree bool) *limitedFleet {
+	t.Helper()
+	l := &limitedFleet{}
+	l.limit.Store(limit)
+	endpoints := []*endpoint{newEndpoint(t, "limited", func(c net.Conn, r *http.Request, _ int) bool {
+		l.mu.Lock()
+		l.arrivals = append(l.arrivals, time.Duration(l.clock.Load()))
+		l.mu.Unlock()
+		header, _ := l.limit.Load().(string)
+		return respond(c, r, 200, header, "done")
+	})}
+	if withFree {
+		endpoints = append(endpoints, newEndpoint(t, "free", ok))
+	}
+	start := time.Now()
+	l.fixture = newFixtureWith(t, limitTranslator{}, func() time.Time { return start.Add(time.Duration(l.clock.Load())) }, endpoints...)
+	// The Forwarder has run for a while.
+	l.clock.Store(int64(time.Minute))
+	return l
+}
+
+// play sends requests, 100 ms apart, and returns the numbers of answers with each status.
+func (l *limitedFleet) play(t *testing.T, requests int) map[int]int {
+	t.Helper()
+	statuses := map[int]int{}
+	for range requests {
+		statuses[l.send(t, "/once/", "").status]++
+		l.clock.Add(int64(100 * time.Millisecond))
+	}
+	return statuses
+}
+
+// mostWithin returns the largest number of arrivals from begin on in any window of the given length.
+func (l *limitedFleet) mostWithin(begin, window time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most := 0
+	for i, first := range l.arrivals {
+		n := 0
+		for _, at := range l.arrivals[i:] {
+			if first >= begin && at-first < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestNamedLimitIsKept guards against an endpoint that gets more requests than the limit which it names in its answers,
+// and against refusing what another endpoint can take.
+func TestNamedLimitIsKept(t *testing.T) {
+	const limit = 1.0
+	l := newLimitedFleet(t, "Limit: 1\r\n", true)
+	statuses := l.play(t, 150)
+	assert.Equal(t, statuses[200], 150)
+	most := l.mostWithin(time.Minute+3*time.Second, 4*time.Second)
+	assert.Assert(t, float64(most) <= 1.5*4*limit+5, "%d requests in 4 s at a limit of %v a second", most, limit)
+}
