Divide a limit that an endpoint names among the entries

What back ends saw: an endpoint in need that named a limit of 1 request a second went on getting two to four, because no entry read the limit.

Cause: the header was passed on to the caller and not looked at. A limit of all senders together also needs an agreement between the entries, of which there are more than the limit has requests a second.

A limit has few users among the members, chosen by rendezvous hashing, who share nine tenths of it equally in buckets of one request; the others send nothing there. A process that has just started is no user for 3 s, and a new user begins without a request. What answers say is exchanged in the entries' messages; the newest answer counts, also one that names no limit, and a user prefers an endpoint whose limit it hasn't heard of for 2 s, so that the end of a limit is noticed. A request for which no endpoint is left is refused at once, as not run, with the time of the next one.

Why it works: the shares of one view of the members sum to less than the limit, whatever messages are lost, and the number of users bounds what a changing view adds.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -71,7 +72,7 @@
 // acquireEndpoint selects an endpoint and waits until the adapter is resident there.
 func (x *exchange) acquireEndpoint(ctx context.Context) (*endpoint, *Refusal) {
 	sel := &criteria{
-		service: x.service, call: &x.call, excluded: x.excluded,
+		service: x.service, call: &x.call, excluded: x.excluded, allows: x.f.throttle.allows,
 		request: selector.Request{PromptTokens: x.call.PromptTokens, RequiredTokens: x.call.PromptTokens + x.call.AnswerTokens},
 	}
 	// The route limits the number of endpoints that receive the request. Once it is reached, only those endpoints may be
@@ -87,8 +88,8 @@
 			sel.version = x.f.fleet.version(x.call.Model)
 		}
 		e, chosen, ok := x.f.choose(sel)
-		if !ok && len(sel.becameUnavailable) == 0 {
-			return nil, refuseUnavailable("no-endpoint", unavailableRetryAfter)
+		if !ok && (sel.isLimited || len(sel.becameUnavailable) == 0) {
+			return nil, refuseNoCandidate(sel)
 		}
 		if !ok {
 			// Every endpoint became unavailable during the wait for the adapter; retry all of them after a delay.
@@ -120,6 +121,13 @@
 	}
 }
 
+func refuseNoCandidate(sel *criteria) *Refusal {
+	if sel.isLimited {
+		return refuseUnavailable("endpoint-limit", cmp.Or(sel.limitedFor, unavailableRetryAfter))
+	}
+	return refuseUnavailable("no-endpoint", unavailableRetryAfter)
+}
+
 // awaitAdapter requests the adapter from the endpoint's sidecar and waits until it is resident, the endpoint becomes
 // unavailable, or adapterLoadTimeout expires.
 func (x *exchange) awaitAdapter(ctx context.Context, e *endpoint, version int64) (isResident, isUnavailable bool) {
@@ -173,6 +181,13 @@
 		f.mu.Unlock()
 		return nil, false
 	}
+	if !x.f.throttle.take(e) {
+		// Another request has used the limit since the endpoint was selected. The retry, if this is one, has been
+		// charged.
+		f.mu.Unlock()
+		x.isRetryCharged = x.sendCount > 0
+		return nil, false
+	}
 	pendingPrefill := 0.0
 	if e.engine != nil {
 		pendingPrefill = max(0, x.call.PromptTokens-e.cachedTokens(&x.call))
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -54,8 +54,8 @@
 	// isSuperseded means that a newer incarnation has the address, so this one has ended. Its registration may still
 	// exist.
 	isSuperseded bool
-	// limit is the number of requests a second that the endpoint named in its last answer; -1 if it named none.
-	limit float64
+	// key identifies the incarnation in messages between entries.
+	key string
 	// hasEnded means that this incarnation is known to have ended, and lost holds the attempts that it had not answered
 	// when their connections ended, until that is known.
 	hasEnded bool
@@ -142,7 +142,7 @@
 			e = &endpoint{
 				usage: map[registrar.AdapterKey]*adapterUsage{}, resident: map[registrar.AdapterKey]int64{},
 				loading: map[registrar.AdapterKey]int64{}, warm: map[registrar.AdapterKey]time.Time{}, cached: map[prefixKey]time.Time{}, changed: make(chan struct{}),
-				attempts: map[*attempt]struct{}{}, limit: -1,
+				attempts: map[*attempt]struct{}{}, key: key.String(),
 			}
 		}
 		if e.stateAt.IsZero() || f.now().Sub(e.stateAt) > stateTTL {
@@ -289,11 +289,22 @@
 	// excluded holds the endpoints that have failed or rejected this request, and becameUnavailable those that became
 	// unavailable while the request waited for its adapter.
 	excluded, becameUnavailable map[incarnation]bool
+	// allows reports whether the limit that an endpoint has named allows another request, and if not, after which time it
+	// does; 0 if that is unknown.
+	allows func(e *endpoint) (ok, isDue bool, after time.Duration)
+	// isLimited is set if an endpoint was left out because of its limit, and limitedFor to the shortest known time after
+	// which one takes a request.
+	isLimited  bool
+	limitedFor time.Duration
+	// due is the index of a candidate that should get a request in order to learn whether its limit is still in force;
+	// -1 if there is none.
+	due int
 }
 
 // candidates returns the endpoints that may serve the request, with the inputs of the cost function.
 func (f *fleet) candidates(sel *criteria) ([]selector.Candidate, []*endpoint) {
 	now := f.now()
+	sel.isLimited, sel.limitedFor, sel.due = false, 0, -1
 	list := f.byService[sel.service]
 	candidates := make([]selector.Candidate, 0, len(list))
 	endpoints := make([]*endpoint, 0, len(list))
@@ -302,8 +313,20 @@
 		if e.IsLeaving || e.isSuperseded || sel.excluded[key] || sel.becameUnavailable[key] || sel.only != nil && !sel.only[key] {
 			continue
 		}
+		ok, isDue, after := sel.allows(e)
+		if !ok {
+			sel.isLimited = true
+			if after > 0 && (sel.limitedFor == 0 || after < sel.limitedFor) {
+				sel.limitedFor = after
+			}
+			continue
+		}
+		c := f.candidate(e, sel, now)
+		if isDue && c.Residency == selector.Resident && !c.IsSuspect {
+			sel.due = len(candidates)
+		}
 		endpoints = append(endpoints, e)
-		candidates = append(candidates, f.candidate(e, sel, now))
+		candidates = append(candidates, c)
 	}
 	rankByRendezvous(candidates, sel.call.Model)
 	return candidates, endpoints
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -77,10 +77,13 @@
 	Retry retrier.Config
 	// EntryCount returns the number of entries, at least 1.
 	EntryCount func() int
-	Selector   selector.Config
+	// Members returns the names of the entries that may be sending requests, with or without this one. The default knows no
+	// other entry.
+	Members  func() []string
+	Selector selector.Config
 	// Shedding decides which requests are rejected while the process is behind; the default is shedder.Standing.
 	Shedding shedder.Policy
-	// OnEvidence, if set, is called when CrashEvidence has changed and should be sent to the other entries soon.
+	// OnEvidence, if set, is called when CrashEvidence or Limits has changed and should be sent to the other entries soon.
 	OnEvidence func()
 	Now        func() time.Time
 	Seed       uint64
@@ -93,6 +96,7 @@
 	configuration atomic.Pointer[registrar.Configuration]
 	fleet         *fleet
 	quarantine    *quarantine
+	throttle      *throttle
 	start         time.Time
 	retry         atomic.Pointer[retrier.Config]
 	leaving       atomic.Bool
@@ -112,12 +116,15 @@
 // New returns a Forwarder without a configuration.
 func New(c Config) *Forwarder {
 	c.Selector = c.Selector.WithDefaults()
+	if c.Members == nil {
+		c.Members = func() []string { return nil }
+	}
 	if c.Shedding == nil {
 		c.Shedding = shedder.Standing{}
 	}
 	start := c.Now()
 	f := &Forwarder{
-		config: c, fleet: newFleet(c.Domain, c.Now), quarantine: newQuarantine(start, c.Now, c.Log), start: start, retryBudgets: map[string]*retryBudget{},
+		config: c, fleet: newFleet(c.Domain, c.Now), quarantine: newQuarantine(start, c.Now, c.Log), throttle: newThrottle(c.VM, start, c.Now, c.Log), start: start, retryBudgets: map[string]*retryBudget{},
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
 	f.SetRetry(c.Retry)
@@ -453,6 +460,9 @@
 	if !ok {
 		return nil, placement{}, false
 	}
+	if sel.due >= 0 {
+		choice.Index = sel.due
+	}
 	e, c := endpoints[choice.Index], candidates[choice.Index]
 	p := placement{
 		endpoint: e.ID, expected: choice.Expected, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
@@ -469,10 +479,11 @@
 // ChangedDemands returns the demands that have changed and should be sent to the sidecars soon.
 func (f *Forwarder) ChangedDemands() []EngineDemand { return f.fleet.dirtyDemands() }
 
-// Prune closes pooled connections to endpoints that are no longer listed and removes outdated usage records and expired evidence on crashes. It must be
+// Prune closes pooled connections to endpoints that are no longer listed and removes outdated usage records, expired evidence on crashes and expired limits, and applies the current members. It must be
 // called periodically.
 func (f *Forwarder) Prune() {
 	f.config.Pool.Prune(f.fleet.hasAddress)
 	f.fleet.pruneUsage()
 	f.quarantine.prune()
+	f.throttle.update(f.config.Members())
 }
--- a/internal/forwarder/throttle_test.go
+++ b/internal/forwarder/throttle_test.go
@@ -95,3 +95,41 @@
 	most := l.mostWithin(time.Minute+3*time.Second, 4*time.Second)
 	assert.Assert(t, float64(most) <= 1.5*4*limit+5, "%d requests in 4 s at a limit of %v a second", most, limit)
 }
+
+// TestLimitOfOnlyEndpointIsRefusedAtOnce guards against requests that wait for a limit, and against a refusal that
+// doesn't say when to come back.
+func TestLimitOfOnlyEndpointIsRefusedAtOnce(t *testing.T) {
+	l := newLimitedFleet(t, "Limit: 0.5\r\n", false)
+	assert.Equal(t, l.send(t, "/once/", "").status, 200)
+	got := l.send(t, "/once/", "")
+	assert.Equal(t, got.status, 503)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 2 && after < 2.5, "Retry-After: %v", after)
+	l.clock.Add(int64(after * float64(time.Second)))
+	assert.Equal(t, l.send(t, "/once/", "").status, 200)
+}
+
+// TestLimitEndsWithItsName guards against a limit that is kept although answers no longer name it.
+func TestLimitEndsWithItsName(t *testing.T) {
+	l := newLimitedFleet(t, "Limit: 1\r\n", false)
+	l.play(t, 50)
+	l.limit.Store("")
+	l.clock.Add(int64(2 * time.Second))
+	assert.Equal(t, l.play(t, 50)[200], 50)
+}
+
+// TestLimitHoldsForOtherEntries guards against entries that each keep a limit for themselves, and against an entry that
+// keeps one which another entry knows to have ended.
+func TestLimitHoldsForOtherEntries(t *testing.T) {
+	a, b := newLimitedFleet(t, "Limit: 1\r\n", false), newLimitedFleet(t, "", false)
+	a.play(t, 1)
+	b.AddLimits(a.Limits())
+	assert.Equal(t, b.play(t, 1)[503], 1, "the limit is unknown to the other entry")
+	a.limit.Store("")
+	a.clock.Add(int64(5 * time.Second))
+	a.play(t, 1)
+	b.clock.Add(int64(5 * time.Second))
+	b.AddLimits(a.Limits())
+	assert.Equal(t, b.play(t, 10)[200], 10)
+}
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -133,7 +133,7 @@
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
 		VM: c.VM, Domain: c.Domain, Translator: c.Translator, Pool: connector.New(connector.Config{}),
-		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Retry: c.Tuning.Retry, EntryCount: e.sharer.EntryCount,
+		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Retry: c.Tuning.Retry, EntryCount: e.sharer.EntryCount, Members: e.sharer.Members,
 		Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log, OnEvidence: e.sharer.RequestMessage,
 	})
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
@@ -155,6 +155,7 @@
 	}, func(s wire.EntryState, _ string) {
 		e.sharer.HandleMessage(s)
 		e.forwarder.AddCrashEvidence(s.Crashes, s.Acquittals)
+		e.forwarder.AddLimits(s.Limits)
 	})
 	gossiper.Handle(g, kindTableChanges, func(m wire.TableChanges) (string, gossiper.Stamp) {
 		return m.VM + "/" + m.Table, gossiper.Stamp{Boot: m.Boot, Sequence: m.Sequence}
@@ -254,6 +255,7 @@
 			e.config.Platform.EndpointsTable(): e.endpoints.Table().Version,
 		})
 		message.Crashes, message.Acquittals = e.forwarder.CrashEvidence()
+		message.Limits = e.forwarder.Limits()
 		if len(to) > 0 {
 			e.gossiper.Send(kindEntryState, message, to...)
 		}
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -390,6 +390,19 @@
 	return s.memberCount
 }
 
+// Members returns the names of the entries that may be serving, including this one.
+func (s *Sharer) Members() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	members := []string{s.config.VM}
+	for name, p := range s.peers {
+		if !p.lastReceived.IsZero() {
+			members = append(members, name)
+		}
+	}
+	return members
+}
+
 // DomainPeers returns the addresses of the entries of this entry's failure domain that it is in contact with.
 func (s *Sharer) DomainPeers() []string {
 	s.mu.Lock()
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -322,6 +322,18 @@
 	Suspects    []CrashSuspect `json:"Suspects"`
 }
 
+// EndpointLimit defines model for EndpointLimit.
+type EndpointLimit struct {
+	// AgeMilliseconds Time since the answer.
+	AgeMilliseconds int64 `json:"AgeMilliseconds"`
+
+	// Incarnation Identifies one run of an endpoint.
+	Incarnation string `json:"Incarnation"`
+
+	// PerSecond Requests a second that it takes from all entries together; -1 if its answer named no limit.
+	PerSecond float64 `json:"PerSecond"`
+}
+
 // EndpointView defines model for EndpointView.
 type EndpointView struct {
 	Address       string `json:"Address"`
@@ -448,6 +460,9 @@
 	// Known Addresses of the entries; only now and then.
 	Known *[]PeerAddress `json:"Known,omitempty"`
 
+	// Limits What endpoints have said of their limits in answers to the sender.
+	Limits []EndpointLimit `json:"Limits,omitempty"`
+
 	// OneWay Those of Heard that don't hear the sender.
 	OneWay []string `json:"OneWay"`
 
