Tests: the end of a limit is noticed and told, with more entries than users

Cause: with the exchange of limits or the renewal of old statements taken out, no test failed: two entries are both users of a limit of 4 a second, and one endpoint is chosen in any case.

--- a/internal/forwarder/throttle_test.go
+++ b/internal/forwarder/throttle_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"geraniumladder/internal/forwarder"
+	"geraniumladder/internal/registrar"
 )
 
 // limitTranslator also decodes the limit that an endpoint names.
@@ -30,8 +31,9 @@
 	*fixture
 	clock atomic.Int64
 	// limit is the header line of the limited endpoint's answers; it may be empty.
-	limit atomic.Value
-	mu    sync.Mutex
+	limit  atomic.Value
+	listed []registrar.Endpoint
+	mu     sync.Mutex
 	// arrivals are the times at which requests reached the limited endpoint.
 	arrivals []time.Duration
 }
@@ -52,6 +54,9 @@
 	}
 	start := time.Now()
 	l.fixture = newFixtureWith(t, limitTranslator{}, func() time.Time { return start.Add(time.Duration(l.clock.Load())) }, endpoints...)
+	for _, e := range endpoints {
+		l.listed = append(l.listed, e.registered("s"))
+	}
 	// The Forwarder has run for a while.
 	l.clock.Store(int64(time.Minute))
 	return l
@@ -133,3 +138,18 @@
 	b.AddLimits(a.Limits())
 	assert.Equal(t, b.play(t, 10)[200], 10)
 }
+
+// TestEndOfLimitIsNoticed guards against a limit that is kept because other endpoints are better choices, so that no
+// answer shows that it has ended.
+func TestEndOfLimitIsNoticed(t *testing.T) {
+	l := newLimitedFleet(t, "Limit: 1\r\n", true)
+	l.SetEndpoints(l.listed[:1])
+	l.play(t, 1)
+	l.limit.Store("")
+	l.listed[0].IsCold, l.listed[0].Domain = true, "far"
+	l.SetEndpoints(l.listed)
+	l.play(t, 50)
+	limits := l.Limits()
+	assert.Equal(t, len(limits), 1)
+	assert.Equal(t, limits[0].PerSecond, -1.0)
+}
