Forget lost attempts in time, so that the end of a flaky endpoint is noted

Cause: an endpoint that goes on breaking off answers without ending kept its first 64 lost attempts, and those at its end were dropped. Result: TestFlakyEndpointStaysUnderWatch failed (a fourth request reached the endpoint after three crashes) and passes.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -124,7 +124,8 @@
 	}
 	start := c.Now()
 	f := &Forwarder{
-		config: c, fleet: newFleet(c.Domain, c.Now), quarantine: newQuarantine(start, c.Now, c.Log), throttle: newThrottle(c.VM, start, c.Now, c.Log), start: start, retryBudgets: map[string]*retryBudget{},
+		config: c, fleet: newFleet(c.Domain, c.Now), start: start, retryBudgets: map[string]*retryBudget{},
+		quarantine: newQuarantine(start, c.Now, c.Log), throttle: newThrottle(c.VM, start, c.Now, c.Log),
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
 	f.SetRetry(c.Retry)
@@ -479,8 +480,8 @@
 // ChangedDemands returns the demands that have changed and should be sent to the sidecars soon.
 func (f *Forwarder) ChangedDemands() []EngineDemand { return f.fleet.dirtyDemands() }
 
-// Prune closes pooled connections to endpoints that are no longer listed and removes outdated usage records, expired evidence on crashes and expired limits, and applies the current members. It must be
-// called periodically.
+// Prune closes pooled connections to endpoints that are no longer listed, removes outdated usage records, expired evidence
+// on crashes and expired limits, and applies the current members. It must be called periodically.
 func (f *Forwarder) Prune() {
 	f.config.Pool.Prune(f.fleet.hasAddress)
 	f.fleet.pruneUsage()
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"io"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -183,6 +184,7 @@
 func (f *fleet) recordLost(e *endpoint, l lostAttempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	e.lost = slices.DeleteFunc(e.lost, func(old lostAttempt) bool { return l.at.Sub(old.at) > lostRetention })
 	if len(e.lost) < maxLostAttempts {
 		e.lost = append(e.lost, l)
 	}
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -171,3 +171,20 @@
 	d.AddCrashEvidence(a.CrashEvidence())
 	assert.Equal(t, (<-waiting).status, 502)
 }
+
+// TestFlakyEndpointStaysUnderWatch guards against an endpoint that has broken off so many answers that nothing is noted
+// when it ends.
+func TestFlakyEndpointStaysUnderWatch(t *testing.T) {
+	c := newCrashingFleet(t, 1)
+	for i := range 70 {
+		c.send(t, "/stream/", "", "Parts", fmt.Sprintf("shared,deadly,own-%d", i))
+	}
+	c.crashed = nil
+	for range 3 {
+		c.advance(time.Minute)
+		c.send(t, "/stream/", "", "Parts", "shared,deadly,own")
+		c.restart()
+	}
+	assert.Equal(t, c.send(t, "/stream/", "", "Parts", "shared,deadly,own").status, 503)
+	assert.Equal(t, c.crashCount(), 73)
+}
