Tell a changed limit at once only if it has changed much

Cause: an endpoint whose limit varies from answer to answer made each entry send a message to all others for each answer, and log a line. Change: a limit that appears, ends or changes by a tenth is announced; smaller changes go with the next regular message.

--- a/internal/forwarder/throttle.go
+++ b/internal/forwarder/throttle.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -19,15 +20,41 @@
 
 	mu    sync.Mutex
 	state throttler.Throttler[string]
+	// announced holds the limits that were last logged and told the other entries at once. Smaller changes are told with
+	// the next message.
+	announced map[string]float64
+}
+
+// significantChange is the part of a limit by which it must change to be announced.
+const significantChange = 0.1
+
+// announce reports whether the limit of the endpoint has changed much since it was last announced, and logs it if so.
+func (t *throttle) announce(endpoint string, isOwn bool) bool {
+	current, share := t.state.Limit(endpoint)
+	previous, isKnown := t.announced[endpoint]
+	if !isKnown {
+		previous = throttler.None
+	}
+	if (current < 0) == (previous < 0) && math.Abs(current-previous) <= significantChange*previous {
+		return false
+	}
+	if current == throttler.None {
+		delete(t.announced, endpoint)
+	} else {
+		t.announced[endpoint] = current
+	}
+	t.log.Info().Str("Endpoint", endpoint).Float64("PerSecond", current).Float64("Was", previous).Float64("Share", share).Bool("IsOwn", isOwn).
+		Msg("forwarder: endpoint's named limit changed")
+	return true
 }
 
 func newThrottle(vm string, start time.Time, now func() time.Time, log zerolog.Logger) *throttle {
-	return &throttle{now: now, log: log, start: start, state: throttler.New[string](throttler.Config{}, vm, 0)}
+	return &throttle{now: now, log: log, start: start, state: throttler.New[string](throttler.Config{}, vm, 0), announced: map[string]float64{}}
 }
 
 func (t *throttle) elapsed() time.Duration { return t.now().Sub(t.start) }
 
-// record records what an answer of the endpoint says and reports whether that is new.
+// record records what an answer of the endpoint says and reports whether the other entries should be told at once.
 func (t *throttle) record(e *endpoint, info ResponseInfo) bool {
 	if !info.HasLimit && info.IsNotRun {
 		// Only an answer of the engine shows that there is no limit.
@@ -39,15 +66,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	previous, _ := t.state.Limit(e.key)
 	t.state = t.state.WithStatement(throttler.Statement[string]{Endpoint: e.key, PerSecond: limit, At: t.elapsed()})
-	current, share := t.state.Limit(e.key)
-	if current == previous {
-		return false
-	}
-	t.log.Info().Str("Endpoint", e.ID).Float64("PerSecond", current).Float64("Was", previous).Float64("Share", share).
-		Msg("forwarder: endpoint's named limit changed")
-	return true
+	return t.announce(e.key, true)
 }
 
 // merge records what answers to another entry say.
@@ -58,16 +78,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.elapsed()
-	for _, l := range limits {
-		previous, _ := t.state.Limit(l.Incarnation)
-		t.state = t.state.WithStatements([]throttler.Statement[string]{{
+	statements := make([]throttler.Statement[string], len(limits))
+	for i, l := range limits {
+		statements[i] = throttler.Statement[string]{
 			Endpoint: l.Incarnation, PerSecond: l.PerSecond, At: now - time.Duration(l.AgeMilliseconds)*time.Millisecond,
-		}}, now)
-		if current, share := t.state.Limit(l.Incarnation); current != previous {
-			t.log.Info().Str("Endpoint", l.Incarnation).Float64("PerSecond", current).Float64("Was", previous).Float64("Share", share).
-				Msg("forwarder: endpoint's named limit changed, as another entry says")
 		}
 	}
+	t.state = t.state.WithStatements(statements, now)
+	for _, s := range statements {
+		t.announce(s.Endpoint, false)
+	}
 }
 
 // limits returns what the other entries need to know.
@@ -113,9 +133,12 @@
 	defer t.mu.Unlock()
 	now := t.elapsed()
 	t.state = t.state.WithMembers(members, now).WithoutExpired(now)
+	for endpoint := range t.announced {
+		t.announce(endpoint, false)
+	}
 }
 
-// recordLimit records what an answer says of the endpoint's limit, and tells the other entries soon if that is new.
+// recordLimit records what an answer says of the endpoint's limit, and tells the other entries at once if that is new.
 func (f *Forwarder) recordLimit(e *endpoint, info ResponseInfo) {
 	if f.throttle.record(e, info) && f.config.OnEvidence != nil {
 		f.config.OnEvidence()
