--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -187,13 +187,20 @@
 }
 
 func newFixtureWith(t *testing.T, headers forwarder.Translator, now func() time.Time, endpoints ...*endpoint) *fixture {
+	t.Helper()
+	return newFixtureWithConfig(t, func(c *forwarder.Config) { c.Translator, c.Now = headers, now }, endpoints...)
+}
+
+func newFixtureWithConfig(t *testing.T, change func(c *forwarder.Config), endpoints ...*endpoint) *fixture {
 	t.Helper()
 	a := &admitter{}
-	f := forwarder.New(forwarder.Config{
-		VM: "entry", Translator: headers, Pool: connector.New(connector.Config{}), Admitter: a, Observer: observer{},
+	config := forwarder.Config{
+		VM: "entry", Translator: translator{}, Pool: connector.New(connector.Config{}), Admitter: a, Observer: observer{},
 		Demand: func(string) {}, Retry: retrier.Config{Ratio: 0.2, Constant: 5, Window: 10 * time.Second}, EntryCount: func() int { return 1 },
-		Now: now, Seed: 1, Log: zerolog.Nop(),
-	})
+		Now: longRunningClock(), Seed: 1, Log: zerolog.Nop(),
+	}
+	change(&config)
+	f := forwarder.New(config)
 	targets := []registrar.Target{{Service: "s", Weight: 1}}
 	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
 		Version: 1,
--- a/internal/forwarder/throttle.go
+++ b/internal/forwarder/throttle.go
@@ -35,7 +35,8 @@
 	if !isKnown {
 		previous = throttler.None
 	}
-	if (current < 0) == (previous < 0) && math.Abs(current-previous) <= significantChange*previous {
+	isSmall := current >= 0 && previous >= 0 && math.Abs(current-previous) <= significantChange*previous
+	if isSmall || current == previous {
 		return false
 	}
 	if current == throttler.None {
--- a/internal/forwarder/throttle_test.go
+++ b/internal/forwarder/throttle_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"geraniumladder/internal/forwarder"
 	"geraniumladder/internal/registrar"
@@ -139,6 +140,35 @@
 	assert.Equal(t, b.play(t, 10)[200], 10)
 }
 
+// TestChangesOfLimitAreAnnounced guards against an answer that changes no limit, or hardly, and yet makes the entry send
+// messages to all others, and against a changed limit that they learn late.
+func TestChangesOfLimitAreAnnounced(t *testing.T) {
+	announced := 0
+	e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, n int) bool {
+		header := map[int]string{3: "Limit: 40\r\n", 4: "Limit: 41\r\n", 5: "Limit: 42\r\n", 6: "Limit: 30\r\n"}[n]
+		return respond(c, r, 200, header, "done")
+	})
+	f := newFixtureWithConfig(t, func(c *forwarder.Config) {
+		c.Translator = limitTranslator{}
+		c.OnEvidence = func() { announced++ }
+	}, e)
+	for i, want := range []int{0, 0, 1, 1, 1, 2, 3, 3} {
+		f.waitForLimit(t)
+		assert.Equal(t, announced, want, "after answer %d", i+1)
+	}
+}
+
+// waitForLimit sends a request until the limit allows it.
+func (f *fixture) waitForLimit(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status := f.send(t, "/once/", "").status; status != 200 {
+			return poll.Continue("status %d", status)
+		}
+		return poll.Success()
+	})
+}
+
 // TestEndOfLimitIsNoticed guards against a limit that is kept because other endpoints are better choices, so that no
 // answer shows that it has ended.
 func TestEndOfLimitIsNoticed(t *testing.T) {
