Judge evidence on crashes only when it brings something new

Cause: each attempt that was lost at an engine which had ended, each message of another entry and each answered request made the entry judge all crashes anew, with every request that had waited in the engines' queues.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -559,7 +559,6 @@
 	x.recordOutcome(e, true, isUnreachable)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		x.f.fleet.recordRefused(e)
-		x.f.reportCrashes()
 	}
 	x.excluded[incarnation{id: e.ID, born: e.Born}] = true
 	x.logAttempt(e, "not-sent", stage+": "+err.Error())
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -156,7 +156,6 @@
 	for _, id := range f.fleet.setEndpoints(list, f.configuration.Load()) {
 		f.logSuperseded(id)
 	}
-	f.reportCrashes()
 }
 
 func (f *Forwarder) logSuperseded(endpoint string) {
@@ -173,7 +172,6 @@
 	if id := f.fleet.setState(s); id != "" {
 		f.logSuperseded(id)
 	}
-	f.reportCrashes()
 }
 
 // Leave adds "Connection: close" to further responses, so that callers connect to other entries.
--- a/internal/forwarder/liveness.go
+++ b/internal/forwarder/liveness.go
@@ -80,8 +80,10 @@
 }
 
 // CheckLiveness detects endpoints whose sidecars have become silent, such as those on a stopped or partitioned VM, and
-// abandons attempts there that can be retried at another endpoint. It must be called at LivenessInterval.
+// abandons attempts there that can be retried at another endpoint. It also reports the endpoints that have ended. It must
+// be called at LivenessInterval.
 func (f *Forwarder) CheckLiveness() {
+	f.reportCrashes()
 	changes, stalled := f.fleet.checkLiveness(f.config.Now())
 	for _, c := range changes {
 		f.config.Log.Info().Str("Endpoint", c.endpoint).Stringer("Was", c.previous).Stringer("Is", c.current).Dur("Silence", c.silence).
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -208,7 +208,14 @@
 
 // reportEnd adds the lost attempts of an endpoint that has ended to the crashes.
 func (f *fleet) reportEnd(e *endpoint) {
+	if len(e.lost) == 0 {
+		return
+	}
 	c := endpointCrash{incarnation: incarnation{id: e.ID, born: e.Born}}
+	if i := slices.IndexFunc(f.crashes, func(other endpointCrash) bool { return other.incarnation == c.incarnation }); i >= 0 {
+		c = f.crashes[i]
+		f.crashes = slices.Delete(f.crashes, i, i+1)
+	}
 	for _, l := range e.lost {
 		if f.now().Sub(l.at) > lostRetention {
 			continue
@@ -233,7 +240,8 @@
 	return crashes
 }
 
-// reportCrashes adds the crashes that the fleet has found to the evidence, and tells the other entries soon.
+// reportCrashes adds the crashes that the fleet has found to the evidence, and tells the other entries soon. The attempts
+// at an endpoint that ends are lost one after the other, so it is called at an interval rather than for each.
 func (f *Forwarder) reportCrashes() {
 	crashes := f.fleet.takeCrashes()
 	if len(crashes) == 0 {
@@ -326,7 +334,6 @@
 	x.f.fleet.recordLost(e, lostAttempt{
 		at: x.f.config.Now(), suspect: quarantiner.Suspect[string]{Parts: x.call.sharedParts, HasBegun: x.hasBegun},
 	})
-	x.f.reportCrashes()
 }
 
 // isConnectionEnd reports whether the error is that of a connection which the other side has closed or reset. A
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -87,6 +87,7 @@
 	}
 	c.crashed = nil
 	c.SetEndpoints(c.listed)
+	c.CheckLiveness()
 }
 
 func (c *crashingFleet) advance(d time.Duration) { c.ahead.Add(int64(d)) }
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -55,7 +55,7 @@
 	// queuedWeight is the weight of a crash that hit no request whose answer had begun.
 	queuedWeight = 0.5
 	// maxSuspects limits the suspects of one crash.
-	maxSuspects = 64
+	maxSuspects = 32
 	// acquittalInterval is the time within which the next acquittal of a part that isn't suspected is not recorded.
 	acquittalInterval = time.Second
 	// timeTolerance is the difference up to which two reported times of one crash are the same.
@@ -66,8 +66,8 @@
 type Suspect[P cmp.Ordered] struct {
 	// Parts are the parts that may be the cause, sorted and without duplicates.
 	Parts []P
-	// HasBegun means that the endpoint had begun to answer. The suspects of a crash for which this is false count only
-	// if it is false for all of them.
+	// HasBegun means that the endpoint had begun to answer. It has the same value for all suspects of a crash that a
+	// Quarantiner keeps: others are dropped if there is one for which it is true.
 	HasBegun bool
 }
 
@@ -141,8 +141,8 @@
 // WithAcquittal records that a request with the part was answered, as this process has observed. It has no effect on a
 // part that was never suspected.
 func (q Quarantiner[P]) WithAcquittal(part P, at time.Duration) Quarantiner[P] {
-	q, changed := q.mergeAcquittal(part, at, true)
-	if !changed {
+	q, wasSuspected := q.mergeAcquittal(part, at, true)
+	if !wasSuspected {
 		return q
 	}
 	return q.withoutAcquittedCrashes().withBlocks()
@@ -150,19 +150,22 @@
 
 // WithEvidence adds what another process knows.
 func (q Quarantiner[P]) WithEvidence(crashes []Crash[P], acquittals []Acquittal[P]) Quarantiner[P] {
-	isChanged := false
+	hasNewCrash, wasSuspected := false, false
 	for _, c := range crashes {
 		next, changed := q.mergeCrash(c)
-		q, isChanged = next, isChanged || changed
+		q, hasNewCrash = next, hasNewCrash || changed
 	}
 	for _, a := range acquittals {
-		next, changed := q.mergeAcquittal(a.Part, a.At, false)
-		q, isChanged = next, isChanged || changed
+		next, suspected := q.mergeAcquittal(a.Part, a.At, false)
+		q, wasSuspected = next, wasSuspected || suspected
+	}
+	if wasSuspected {
+		q = q.withoutAcquittedCrashes()
 	}
-	if !isChanged {
+	if !hasNewCrash && !wasSuspected {
 		return q
 	}
-	return q.withoutAcquittedCrashes().withBlocks()
+	return q.withBlocks()
 }
 
 // mergeCrash adds a crash, or what is new of a crash that is known already, and reports whether anything is new.
@@ -171,12 +174,15 @@
 	i := slices.IndexFunc(crashes, func(known Crash[P]) bool { return known.Endpoint == c.Endpoint })
 	if i >= 0 {
 		known := crashes[i]
+		if c.At > known.At-timeTolerance && q.isCovered(known, c.Suspects) {
+			return q, false
+		}
 		c.Suspects = slices.Concat(known.Suspects, c.Suspects)
 		if c.At > known.At-timeTolerance {
 			c.At = known.At
 		}
 		merged, _ := q.withoutAcquitted(c)
-		if c.At == known.At && len(merged.Suspects) == len(known.Suspects) {
+		if c.At == known.At && slices.EqualFunc(merged.Suspects, known.Suspects, equalSuspects) {
 			return q, false
 		}
 		c, crashes = merged, slices.Delete(slices.Clone(crashes), i, i+1)
@@ -194,17 +200,41 @@
 	return q, true
 }
 
+func equalSuspects[P cmp.Ordered](a, b Suspect[P]) bool {
+	return a.HasBegun == b.HasBegun && slices.Equal(a.Parts, b.Parts)
+}
+
+// isCovered reports whether the suspects bring nothing new to a crash that is known.
+func (q Quarantiner[P]) isCovered(known Crash[P], suspects []Suspect[P]) bool {
+	for _, s := range suspects {
+		isWeaker := !s.HasBegun && known.Suspects[0].HasBegun
+		isKnown := slices.ContainsFunc(known.Suspects, func(k Suspect[P]) bool { return equalSuspects(k, s) })
+		isAcquitted := !slices.ContainsFunc(s.Parts, func(p P) bool { return !q.isAcquitted(p, known.At) })
+		if !isWeaker && !isKnown && !isAcquitted {
+			return false
+		}
+	}
+	return true
+}
+
+// isAcquitted reports whether the part was acquitted after the time.
+func (q Quarantiner[P]) isAcquitted(part P, since time.Duration) bool {
+	a, ok := q.acquittals[part]
+	return ok && a.at >= since
+}
+
 func compareCrashes[P cmp.Ordered](a, b Crash[P]) int {
 	return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Endpoint, b.Endpoint))
 }
 
-// mergeAcquittal adds an acquittal and reports whether it is recorded.
-func (q Quarantiner[P]) mergeAcquittal(part P, at time.Duration, isOwn bool) (Quarantiner[P], bool) {
+// mergeAcquittal adds an acquittal and reports whether the part is suspected, so that the crashes must be looked at again.
+func (q Quarantiner[P]) mergeAcquittal(part P, at time.Duration, isOwn bool) (next Quarantiner[P], isSuspected bool) {
 	last, isAcquitted := q.acquittals[part]
-	switch isSuspected := q.IsSuspected(part); {
-	case !isSuspected && !isAcquitted, isAcquitted && at <= last.at:
+	if isAcquitted && at <= last.at {
 		return q, false
-	case !isSuspected && at-last.at < acquittalInterval:
+	}
+	isSuspected = q.IsSuspected(part)
+	if !isSuspected && (!isAcquitted || at-last.at < acquittalInterval) {
 		return q, false
 	}
 	acquittals := maps.Clone(q.acquittals)
@@ -213,7 +243,7 @@
 	}
 	acquittals[part] = acquittal{at: at, isOwn: isOwn}
 	q.acquittals = acquittals
-	return q, true
+	return q, isSuspected
 }
 
 func (q Quarantiner[P]) withoutAcquittedCrashes() Quarantiner[P] {
@@ -227,22 +257,20 @@
 	return q
 }
 
-// withoutAcquitted removes the parts that were acquitted after the crash, and duplicate suspects. It returns false if no
-// suspect remains.
+// withoutAcquitted removes the parts that were acquitted after the crash, duplicate suspects, and those whose answer had
+// not begun if there are others. It returns false if no suspect remains.
 func (q Quarantiner[P]) withoutAcquitted(c Crash[P]) (Crash[P], bool) {
-	suspects := make([]Suspect[P], 0, len(c.Suspects))
+	hasBegun := slices.ContainsFunc(c.Suspects, func(s Suspect[P]) bool { return s.HasBegun })
+	suspects := make([]Suspect[P], 0, min(len(c.Suspects), maxSuspects))
 	for _, s := range c.Suspects {
-		parts := slices.Clone(s.Parts)
-		slices.Sort(parts)
-		parts = slices.DeleteFunc(slices.Compact(parts), func(p P) bool {
-			a, ok := q.acquittals[p]
-			return ok && a.at >= c.At
-		})
-		s.Parts = parts
-		isKnown := slices.ContainsFunc(suspects, func(other Suspect[P]) bool {
-			return other.HasBegun == s.HasBegun && slices.Equal(other.Parts, s.Parts)
-		})
-		if len(parts) > 0 && !isKnown && len(suspects) < maxSuspects {
+		if s.HasBegun != hasBegun {
+			continue
+		}
+		s.Parts = slices.Clone(s.Parts)
+		slices.Sort(s.Parts)
+		s.Parts = slices.DeleteFunc(slices.Compact(s.Parts), func(p P) bool { return q.isAcquitted(p, c.At) })
+		isKnown := slices.ContainsFunc(suspects, func(other Suspect[P]) bool { return equalSuspects(other, s) })
+		if len(s.Parts) > 0 && !isKnown && len(suspects) < maxSuspects {
 			suspects = append(suspects, s)
 		}
 	}
@@ -250,20 +278,6 @@
 	return c, len(suspects) > 0
 }
 
-// counted returns the suspects that count: those whose answer had begun, or all if there is none.
-func (c Crash[P]) counted() []Suspect[P] {
-	var begun []Suspect[P]
-	for _, s := range c.Suspects {
-		if s.HasBegun {
-			begun = append(begun, s)
-		}
-	}
-	if begun != nil {
-		return begun
-	}
-	return c.Suspects
-}
-
 // WithoutExpired removes the evidence that no longer counts.
 func (q Quarantiner[P]) WithoutExpired(now time.Duration) Quarantiner[P] {
 	if len(q.crashes) == 0 && len(q.acquittals) == 0 && len(q.probes) == 0 {
@@ -331,12 +345,10 @@
 // Blocks returns the current blocks, including those whose time is over and whose parts are not acquitted.
 func (q Quarantiner[P]) Blocks() []Block[P] { return slices.Clone(q.blocks) }
 
-// Evidence returns what other processes need for the same blocks: crashes with the suspects that count, at most limit
-// suspects in all, and as many of this process's acquittals. Crashes that a block explains come first, then the newest ones.
+// Evidence returns what other processes need for the same blocks: crashes with at most limit suspects in all, and as many of this process's acquittals. Crashes that a block explains come first, then the newest ones.
 func (q Quarantiner[P]) Evidence(limit int) ([]Crash[P], []Acquittal[P]) {
 	var explained, others []Crash[P]
 	for _, c := range slices.Backward(q.crashes) {
-		c.Suspects = c.counted()
 		if slices.ContainsFunc(c.Suspects, func(s Suspect[P]) bool { return q.IsBlocked(s.Parts) }) {
 			explained = append(explained, c)
 		} else {
--- a/pkg/quarantiner/quarantiner_test.go
+++ b/pkg/quarantiner/quarantiner_test.go
@@ -358,3 +358,43 @@
 		}
 	}
 }
+
+// overloaded returns the evidence of 16 crashes of engines with long queues.
+func overloaded() evidence {
+	q := newEvidence()
+	for i := range 16 {
+		c := crashAt(float64(i)/4, begun("shared", fmt.Sprintf("subject-%d", i)))
+		for n := range 60 {
+			c.Suspects = append(c.Suspects, queued(fmt.Sprintf("shared-%d", n%3), fmt.Sprintf("subject-%d", 100+(i*7+n)%80)))
+		}
+		q = q.WithCrash(c)
+	}
+	return q
+}
+
+// BenchmarkKnownEvidence measures a message of another entry that brings nothing new, while engines with long queues end.
+func BenchmarkKnownEvidence(b *testing.B) {
+	q := overloaded()
+	crashes, acquittals := q.Evidence(128)
+	for b.Loop() {
+		q = q.WithEvidence(crashes, acquittals)
+	}
+}
+
+// BenchmarkAcquittal measures an answered request whose parts are not suspected, while engines with long queues end.
+func BenchmarkAcquittal(b *testing.B) {
+	q := overloaded()
+	at := 10 * time.Second
+	for b.Loop() {
+		at += time.Millisecond
+		q = q.WithAcquittal("shared-1", at)
+	}
+}
+
+// BenchmarkLostAttempt measures one more request that was lost at an engine which has ended.
+func BenchmarkLostAttempt(b *testing.B) {
+	q := overloaded()
+	for b.Loop() {
+		_ = q.WithCrash(crashAt(2, queued("shared-1", "new")))
+	}
+}
--- a/pkg/quarantiner/verdict.go
+++ b/pkg/quarantiner/verdict.go
@@ -40,7 +40,7 @@
 func mostSuspected[P cmp.Ordered](crashes []Crash[P], config Config) (best P, ok bool) {
 	byPart := map[P][]Crash[P]{}
 	for _, c := range crashes {
-		for _, s := range c.counted() {
+		for _, s := range c.Suspects {
 			for _, p := range s.Parts {
 				if list := byPart[p]; len(list) == 0 || list[len(list)-1].Endpoint != c.Endpoint {
 					byPart[p] = append(list, c)
@@ -79,21 +79,21 @@
 
 // weight returns the weight of one crash. Requests that merely waited may have been hit by a crash of any cause.
 func (c Crash[P]) weight() float64 {
-	if slices.ContainsFunc(c.Suspects, func(s Suspect[P]) bool { return s.HasBegun }) {
+	if c.Suspects[0].HasBegun {
 		return 1
 	}
 	return queuedWeight
 }
 
 func (c Crash[P]) isSuspected(part P) bool {
-	return slices.ContainsFunc(c.counted(), func(s Suspect[P]) bool { return slices.Contains(s.Parts, part) })
+	return slices.ContainsFunc(c.Suspects, func(s Suspect[P]) bool { return slices.Contains(s.Parts, part) })
 }
 
 // companions returns the part and those that each suspect with the part contains.
 func companions[P cmp.Ordered](crashes []Crash[P], part P) []P {
 	var group []P
 	for _, c := range crashes {
-		for _, s := range c.counted() {
+		for _, s := range c.Suspects {
 			switch {
 			case !slices.Contains(s.Parts, part):
 			case group == nil:
@@ -108,7 +108,7 @@
 
 // hasRival reports whether a part outside of the group is suspected in all of the crashes too.
 func hasRival[P cmp.Ordered](crashes []Crash[P], group []P) bool {
-	for _, s := range crashes[0].counted() {
+	for _, s := range crashes[0].Suspects {
 		for _, p := range s.Parts {
 			if slices.Contains(group, p) {
 				continue
