Send evidence on crashes at the regular interval, not with each message on a scarce limit

Cause: while a limit of an organisation is scarce, entries send up to 40 messages a second to each other, and each carried all crashes and acquittals. Change: evidence goes with a message when it is new, and else at the regular interval; at most 64 suspects and acquittals a message, 128 before.

--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -28,7 +28,7 @@
 	// maxLostAttempts limits the lost attempts that are kept for one endpoint.
 	maxLostAttempts = 64
 	// maxEvidence limits the suspects and the acquittals in one message.
-	maxEvidence = 128
+	maxEvidence = 64
 	// probeStagger is the time between the probes of two entries for a part whose block has ended.
 	probeStagger = 2 * time.Second
 )
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -110,6 +110,9 @@
 	boot         string
 	tuning       atomic.Pointer[Tuning]
 
+	// hasNewEvidence means that the other entries should be told at once what endpoints have shown of themselves.
+	hasNewEvidence atomic.Bool
+
 	// mu serialises changes of the configuration and of the endpoints, which depend on each other.
 	mu           sync.Mutex
 	endpointList []registrar.Endpoint
@@ -134,7 +137,10 @@
 	e.forwarder = forwarder.New(forwarder.Config{
 		VM: c.VM, Domain: c.Domain, Translator: c.Translator, Pool: connector.New(connector.Config{}),
 		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Retry: c.Tuning.Retry, EntryCount: e.sharer.EntryCount, Members: e.sharer.Members,
-		Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log, OnEvidence: e.sharer.RequestMessage,
+		Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log, OnEvidence: func() {
+			e.hasNewEvidence.Store(true)
+			e.sharer.RequestMessage()
+		},
 	})
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: operatorsPollTimeout,
@@ -236,7 +242,7 @@
 func (e *Entry) exchangeState(ctx context.Context) error {
 	timer := time.NewTimer(sharer.MessageInterval)
 	defer timer.Stop()
-	var last time.Time
+	var last, lastEvidence time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -254,8 +260,12 @@
 			e.config.Platform.OperatorsTable(): e.operators.Table().Version,
 			e.config.Platform.EndpointsTable(): e.endpoints.Table().Version,
 		})
-		message.Crashes, message.Acquittals = e.forwarder.CrashEvidence()
-		message.Limits = e.forwarder.Limits()
+		// Messages about a scarce limit are many, and evidence is long.
+		if e.hasNewEvidence.Swap(false) || last.Sub(lastEvidence) >= e.sharer.MessageInterval() {
+			lastEvidence = last
+			message.Crashes, message.Acquittals = e.forwarder.CrashEvidence()
+			message.Limits = e.forwarder.Limits()
+		}
 		if len(to) > 0 {
 			e.gossiper.Send(kindEntryState, message, to...)
 		}
