--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"hash/fnv"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 	born int64
 }
 
+// String returns the name of the incarnation in messages between entries.
+func (i incarnation) String() string { return i.id + "@" + strconv.FormatInt(i.born, 10) }
+
 // endpoint is this entry's view of one incarnation of an endpoint.
 type endpoint struct {
 	registrar.Endpoint
