A crash whose suspects are acquitted is removed, not kept empty

Cause: an entry that knew a crash by waiting requests, heard from another of one whose answer had begun, and had already acquitted that one, kept the crash without suspects; the next message about it made the process panic. Change: acquitted parts are taken out before requests that waited are dropped, and a crash without suspects is removed.

--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -181,7 +181,12 @@
 		if c.At > known.At-timeTolerance {
 			c.At = known.At
 		}
-		merged, _ := q.withoutAcquitted(c)
+		merged, hasSuspects := q.withoutAcquitted(c)
+		if !hasSuspects {
+			// The crash is older than it seemed, and all of its parts have been acquitted since.
+			q.crashes = slices.Delete(slices.Clone(crashes), i, i+1)
+			return q, true
+		}
 		if c.At == known.At && slices.EqualFunc(merged.Suspects, known.Suspects, equalSuspects) {
 			return q, false
 		}
@@ -260,22 +265,21 @@
 // withoutAcquitted removes the parts that were acquitted after the crash, duplicate suspects, and those whose answer had
 // not begun if there are others. It returns false if no suspect remains.
 func (q Quarantiner[P]) withoutAcquitted(c Crash[P]) (Crash[P], bool) {
-	hasBegun := slices.ContainsFunc(c.Suspects, func(s Suspect[P]) bool { return s.HasBegun })
-	suspects := make([]Suspect[P], 0, min(len(c.Suspects), maxSuspects))
+	suspects := make([]Suspect[P], 0, len(c.Suspects))
 	for _, s := range c.Suspects {
-		if s.HasBegun != hasBegun {
-			continue
-		}
 		s.Parts = slices.Clone(s.Parts)
 		slices.Sort(s.Parts)
 		s.Parts = slices.DeleteFunc(slices.Compact(s.Parts), func(p P) bool { return q.isAcquitted(p, c.At) })
 		isKnown := slices.ContainsFunc(suspects, func(other Suspect[P]) bool { return equalSuspects(other, s) })
-		if len(s.Parts) > 0 && !isKnown && len(suspects) < maxSuspects {
+		if len(s.Parts) > 0 && !isKnown {
 			suspects = append(suspects, s)
 		}
 	}
-	c.Suspects = suspects
-	return c, len(suspects) > 0
+	if slices.ContainsFunc(suspects, func(s Suspect[P]) bool { return s.HasBegun }) {
+		suspects = slices.DeleteFunc(suspects, func(s Suspect[P]) bool { return !s.HasBegun })
+	}
+	c.Suspects = suspects[:min(len(suspects), maxSuspects)]
+	return c, len(c.Suspects) > 0
 }
 
 // WithoutExpired removes the evidence that no longer counts.
--- a/pkg/quarantiner/quarantiner_test.go
+++ b/pkg/quarantiner/quarantiner_test.go
@@ -89,6 +89,25 @@
 	assert.DeepEqual(t, q.Blocks()[0].Parts, []string{"deadly"})
 }
 
+// TestAcquittedSuspectLeavesTheOthers guards against a crash without suspects, when one whose answer had begun was acquitted
+// before others are told, or the crash turns out to be older than an acquittal.
+func TestAcquittedSuspectLeavesTheOthers(t *testing.T) {
+	q := newEvidence().WithCrash(crashAt(1, begun("a"))).WithAcquittal("a", 6*time.Second)
+	q = q.WithCrash(crashAt(5, queued("waiting")))
+	q = q.WithEvidence([]crash{crashAt(5, begun("a"))}, nil)
+	assert.Assert(t, q.IsSuspected("waiting") && !q.IsSuspected("a"))
+
+	late := crashAt(7, begun("a"))
+	q = q.WithCrash(late)
+	assert.Assert(t, q.IsSuspected("a"))
+	late.At = 5 * time.Second
+	q = q.WithEvidence([]crash{late}, nil)
+	assert.Assert(t, !q.IsSuspected("a"))
+	crashes, _ := q.Evidence(100)
+	assert.Equal(t, len(crashes), 1)
+	q.WithEvidence([]crash{late, crashAt(5, queued("waiting"))}, nil)
+}
+
 // TestRivalsWaitForMoreEvidence guards against blocking the wrong one of two parts that the crashes can't tell apart.
 func TestRivalsWaitForMoreEvidence(t *testing.T) {
 	q := newEvidence()
