Log the connection of an attempt

The lines of an attempt did not tell whether two attempts used one connection, which is what separates a late second copy of an answer from an engine that answers two requests wrongly. The attempt's line now has the connection's local address, which an endpoint sees too, and whether the connection had carried requests before.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -110,6 +110,10 @@
 	IsReused bool
 }
 
+// LocalAddress returns the address of this process on the connection, which identifies the connection in the logs of both
+// sides.
+func (c *Conn) LocalAddress() string { return c.net.LocalAddr().String() }
+
 // Get returns a connection that has been idle for at most maxIdle, or opens a new one. If it fails, no request has been
 // sent.
 func (p *Pool) Get(ctx context.Context, address string, maxIdleTime time.Duration) (*Conn, error) {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -170,6 +170,7 @@
 // send sends the request to the endpoint and handles its response.
 func (x *exchange) send(ctx context.Context, e *endpoint) (*Refusal, bool) {
 	f := x.f.fleet
+	x.current = nil
 	now := x.f.config.Now()
 	key := incarnation{id: e.ID, born: e.Born}
 	version := int64(0)
@@ -546,9 +547,13 @@
 }
 
 func (x *exchange) logAttempt(e *endpoint, outcome, reason string) {
-	x.f.config.Log.Info().Str("Request", x.call.ID).Str("Endpoint", e.ID).Str("Outcome", outcome).Str("Reason", reason).
+	line := x.f.config.Log.Info().Str("Request", x.call.ID).Str("Endpoint", e.ID).Str("Outcome", outcome).Str("Reason", reason).
 		Int("Sends", x.sendCount).Bool("MayHaveRun", x.mayHaveRun).Int("Events", x.attemptEvents).Strs("Parts", x.call.partIDs()).
-		Dur("After", x.f.config.Now().Sub(x.arrivedAt)).Msg("forwarder: attempt ended")
+		Dur("After", x.f.config.Now().Sub(x.arrivedAt))
+	if x.current != nil {
+		line = line.Str("Connection", x.current.conn.LocalAddress()).Bool("IsReused", x.current.conn.IsReused)
+	}
+	line.Msg("forwarder: attempt ended")
 }
 
 // handleNotSent handles an attempt that failed before anything was sent, so that another endpoint may be tried.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -211,7 +211,7 @@
 	hasBegun, isProven bool
 	// isProbe means that the request is sent although a part of its prompt was blocked until now.
 	isProbe bool
-	// current is the current or the last attempt; nil before the first.
+	// current is the current attempt; nil while no connection has been acquired for it.
 	current *attempt
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
