A connection carries no request ID twice

Cause: answers on a connection were told apart by the request's ID, but a request that an endpoint had turned away with 421 went back to it on the same connection with the same ID. A late second copy of the 421 was taken for the answer to the second send, which was running. Likewise, an answer without an ID was taken for the current request on any connection, and requests with equal IDs shared connections.

Evidence: with the connection in the attempt's line, both 421s come on one connection, while the endpoint's record has one 421 and one run. Ruled out: an endpoint that answers 421 and runs, an answer lost.

Change: Pool.Get takes the request's ID and gives it a connection that has not carried that ID, and a connection of its own to a request without one; a connection remembers up to 256 IDs and then ends. An answer without an ID counts only on a connection that has carried no other request. So each answer on a connection names at most one request, whenever it comes.

Tests: TestLateCopyOfAnswerIsNotTakenForTheNext failed before (503 for a request that ran), TestConnectionCarriesAnIDOnce and TestConnectionEndsAfterItsLastRequest failed before.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -9,9 +9,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +42,8 @@
 	maxInterimResponses = 8
 	// headTimeout bounds the time from the first byte of a response's head to the last.
 	headTimeout = 2 * time.Second
+	// MaxRequestsPerConn limits the requests on one connection, whose IDs are remembered.
+	MaxRequestsPerConn = 256
 )
 
 // Config configures a Pool. Zero values are replaced by defaults.
@@ -55,8 +59,10 @@
 type Pool struct {
 	config Config
 	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[string][]*Conn
+	// seed is for the hashes of request IDs.
+	seed maphash.Seed
+	mu   sync.Mutex
+	idle map[string][]*Conn
 }
 
 // New returns an empty Pool.
@@ -73,7 +79,7 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	return &Pool{config: c, dialer: net.Dialer{KeepAliveConfig: keepAliveProbes, Control: setUserTimeout}, idle: map[string][]*Conn{}}
+	return &Pool{config: c, dialer: net.Dialer{KeepAliveConfig: keepAliveProbes, Control: setUserTimeout}, seed: maphash.MakeSeed(), idle: map[string][]*Conn{}}
 }
 
 // keepAliveProbes detect a dead connection while a response is awaited. A slow response does not trigger them, because
@@ -95,7 +101,7 @@
 	return errors.Join(err, failure)
 }
 
-// Conn is one connection. It carries at most one request at a time.
+// Conn is one connection. It carries at most one request at a time, and no two requests with the same ID.
 type Conn struct {
 	pool    *Pool
 	address string
@@ -106,6 +112,12 @@
 	// reusableUntil is the time up to which the endpoint is expected to keep the connection open.
 	reusableUntil time.Time
 	idleSince     time.Time
+	// carried holds the hashes of the IDs of the requests that the connection has carried. No hash occurs twice, so that
+	// the ID in a response tells whether it belongs to the current request: a faulty endpoint may send a second copy of
+	// an earlier response in front of the current one.
+	carried []uint64
+	// isLastRequest is set if the connection must not carry a further request.
+	isLastRequest bool
 	// IsReused reports whether the connection has carried a request before.
 	IsReused bool
 }
@@ -114,16 +126,19 @@
 // sides.
 func (c *Conn) LocalAddress() string { return c.net.LocalAddr().String() }
 
-// Get returns a connection that has been idle for at most maxIdle, or opens a new one. If it fails, no request has been
-// sent.
-func (p *Pool) Get(ctx context.Context, address string, maxIdleTime time.Duration) (*Conn, error) {
-	for {
-		c := p.takeIdle(address, maxIdleTime)
+// Get returns a connection for one request: one that has been idle for at most maxIdle and has not carried a request with
+// the same ID, or a new one. The responses to requests without an ID can't be told apart, so such a request gets a
+// connection of its own. If Get fails, no request has been sent.
+func (p *Pool) Get(ctx context.Context, address string, maxIdleTime time.Duration, requestID string) (*Conn, error) {
+	id := maphash.String(p.seed, requestID)
+	for requestID != "" {
+		c := p.takeIdle(address, maxIdleTime, id)
 		if c == nil {
 			break
 		}
 		if c.isReusable() {
 			c.IsReused = true
+			c.carried = append(c.carried, id)
 			return c, nil
 		}
 		c.Close()
@@ -135,26 +150,39 @@
 		return nil, errors.Wrap(err, "connect to the endpoint")
 	}
 	source := &headLimiter{conn: conn}
-	return &Conn{pool: p, address: address, net: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
+	return &Conn{
+		pool: p, address: address, net: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize),
+		carried: []uint64{id}, isLastRequest: requestID == "",
+	}, nil
 }
 
-func (p *Pool) takeIdle(address string, maxIdleTime time.Duration) *Conn {
+// takeIdle removes and returns the last released connection that is suitable, and closes those that have been idle for
+// too long. It returns nil if there is none.
+func (p *Pool) takeIdle(address string, maxIdleTime time.Duration, requestID uint64) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.config.Now()
 	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[address] = list
-		if now.Before(c.reusableUntil) && now.Sub(c.idleSince) <= maxIdleTime {
-			return c
+	var found *Conn
+	for i := len(list) - 1; i >= 0 && found == nil; i-- {
+		c := list[i]
+		isFresh := now.Before(c.reusableUntil) && now.Sub(c.idleSince) <= maxIdleTime
+		switch {
+		case isFresh && slices.Contains(c.carried, requestID):
+			continue
+		case isFresh:
+			found = c
+		default:
+			c.Close()
 		}
-		// The connections before it in the list have been idle for longer.
-		c.Close()
+		list = slices.Delete(list, i, i+1)
+	}
+	if len(list) == 0 {
+		delete(p.idle, address)
+	} else {
+		p.idle[address] = list
 	}
-	delete(p.idle, address)
-	return nil
+	return found
 }
 
 // Prune closes expired idle connections, and all idle connections to addresses for which keep returns false.
@@ -328,7 +356,8 @@
 	if announced, ok := keepAliveTimeout(response.Header.Get("Keep-Alive")); ok {
 		keep = min(keep, announced-idleMargin)
 	}
-	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 || c.reader.Buffered() > 0 || keep <= 0 {
+	isUnframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if response.Close || isUnframed || c.reader.Buffered() > 0 || keep <= 0 || c.isLastRequest || len(c.carried) >= MaxRequestsPerConn {
 		c.Close()
 		return
 	}
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -7,13 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
 
 	"geraniumladder/internal/connector"
 )
@@ -67,10 +71,15 @@
 
 var request = &connector.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("x")}
 
+var lastID atomic.Int64
+
+// requestID returns an ID that no other request has.
+func requestID() string { return strconv.FormatInt(lastID.Add(1), 10) }
+
 // exchange sends a request and returns the number of the connection that carried it.
 func exchange(t *testing.T, p *connector.Pool, address string, maxIdle time.Duration) string {
 	t.Helper()
-	c, err := p.Get(t.Context(), address, maxIdle)
+	c, err := p.Get(t.Context(), address, maxIdle, requestID())
 	assert.NilError(t, err)
 	assert.NilError(t, c.Send(request))
 	response, err := c.ReceiveResponse(http.MethodPost)
@@ -98,6 +107,67 @@
 	assert.Equal(t, exchange(t, p, closing, time.Minute), "2")
 }
 
+// TestConnectionCarriesAnIDOnce guards against two requests on one connection whose responses can't be told apart, in any
+// order of requests, responses and pauses: the second copy of an earlier response would be taken for the current one.
+func TestConnectionCarriesAnIDOnce(t *testing.T) {
+	address := startServer(t, serveWith(""))
+	rapid.Check(t, func(r *rapid.T) {
+		now := &clock{now: time.Unix(0, 0)}
+		p := newPool(now)
+		carried := map[string][]string{}
+		type open struct {
+			conn     *connector.Conn
+			response *http.Response
+		}
+		var busy []open
+		for range rapid.IntRange(1, 40).Draw(r, "steps") {
+			switch rapid.SampledFrom([]string{"request", "response", "response", "pause"}).Draw(r, "step") {
+			case "request":
+				id := rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(r, "ID")
+				c, err := p.Get(t.Context(), address, time.Second, id)
+				assert.NilError(r, err)
+				assert.NilError(r, c.Send(request))
+				response, err := c.ReceiveResponse(http.MethodPost)
+				assert.NilError(r, err)
+				carried[c.LocalAddress()] = append(carried[c.LocalAddress()], id)
+				busy = append(busy, open{conn: c, response: response})
+			case "response":
+				if len(busy) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(busy)-1).Draw(r, "which")
+				if _, err := io.Copy(io.Discard, busy[i].response.Body); err != nil {
+					r.Fatal(err)
+				}
+				busy[i].conn.Release(busy[i].response)
+				busy = slices.Delete(busy, i, i+1)
+			case "pause":
+				now.now = now.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(r, "ms")) * time.Millisecond)
+			}
+		}
+		p.Prune(func(string) bool { return false })
+		for _, o := range busy {
+			o.conn.Close()
+		}
+		for address, ids := range carried {
+			slices.Sort(ids)
+			assert.Equal(r, len(slices.Compact(slices.Clone(ids))), len(ids), "%s carried %q", address, ids)
+			assert.Assert(r, len(ids) == 1 || ids[0] != "", "%s carried %q", address, ids)
+		}
+	})
+}
+
+// TestConnectionEndsAfterItsLastRequest guards against a connection that remembers IDs without end.
+func TestConnectionEndsAfterItsLastRequest(t *testing.T) {
+	now := &clock{now: time.Unix(0, 0)}
+	p := newPool(now)
+	address := startServer(t, serveWith(""))
+	for range connector.MaxRequestsPerConn {
+		assert.Equal(t, exchange(t, p, address, time.Minute), "1")
+	}
+	assert.Equal(t, exchange(t, p, address, time.Minute), "2")
+}
+
 // TestUnsolicitedBytes guards against taking bytes that arrive on an idle connection for a response.
 func TestUnsolicitedBytes(t *testing.T) {
 	now := &clock{now: time.Unix(0, 0)}
@@ -152,10 +222,10 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, l.Close())
-	_, err = newPool(now).Get(t.Context(), l.Addr().String(), time.Minute)
+	_, err = newPool(now).Get(t.Context(), l.Addr().String(), time.Minute, "id")
 	assert.ErrorContains(t, err, "connect to the endpoint")
 	address := startServer(t, func(c net.Conn, _ int) { _ = c.Close() })
-	c, err := newPool(now).Get(context.Background(), address, time.Minute)
+	c, err := newPool(now).Get(context.Background(), address, time.Minute, "id")
 	assert.NilError(t, err)
 	c.Close()
 	assert.Assert(t, errors.Is(c.Send(request), connector.ErrNotSent))
@@ -218,7 +288,7 @@
 					ended <- send(c)
 				}
 			})
-			conn, err := connector.New(connector.Config{}).Get(t.Context(), address, time.Second)
+			conn, err := connector.New(connector.Config{}).Get(t.Context(), address, time.Second, "id")
 			assert.NilError(t, err)
 			t.Cleanup(conn.Close)
 			assert.NilError(t, conn.Send(&connector.Request{Method: "GET", Target: "/", Host: "h"}))
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -211,7 +211,7 @@
 	if x.route.IsIdempotent() {
 		idle = maxIdleIdempotent
 	}
-	conn, err := x.f.config.Pool.Get(ctx, e.Address, idle)
+	conn, err := x.f.config.Pool.Get(ctx, e.Address, idle, x.call.ID)
 	if err != nil {
 		return x.handleNotSent(ctx, e, "connect", err, true)
 	}
@@ -323,7 +323,8 @@
 }
 
 // readResponse reads the header of the response that belongs to the request. Responses to earlier requests, which a
-// faulty endpoint may send late or twice, are discarded.
+// faulty endpoint may send late or twice, are discarded. One without an ID may be such a response unless the connection
+// has carried this request only.
 func (x *exchange) readResponse(e *endpoint, conn *connector.Conn) (*http.Response, ResponseInfo, error) {
 	for range maxMismatchedResponses {
 		response, err := conn.ReceiveResponse(x.r.Method)
@@ -331,17 +332,20 @@
 			return nil, ResponseInfo{}, err
 		}
 		info := x.f.config.Translator.DecodeResponse(response)
-		if info.RequestID == "" || info.RequestID == x.call.ID {
+		if info.RequestID == x.call.ID || info.RequestID == "" && !conn.IsReused {
 			x.f.recordLimit(e, info)
 			return response, info, nil
 		}
+		if info.RequestID == "" {
+			break
+		}
 		x.f.config.Log.Warn().Str("Request", x.call.ID).Str("AnswerTo", info.RequestID).
 			Msg("forwarder: response to another request discarded")
 		if !connector.Discard(response.Body, minAnswerBody) {
 			break
 		}
 	}
-	return nil, ResponseInfo{}, errors.New("connection returned responses to other requests")
+	return nil, ResponseInfo{}, errors.New("connection returned responses that can't be assigned to the request")
 }
 
 // handleBuffered handles a response that has been read completely.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -472,6 +472,31 @@
 	}
 }
 
+// TestAnswerWithoutIDIsNotTakenOnReusedConnection guards against a caller that gets the late answer to another request
+// because that answer names no request.
+func TestAnswerWithoutIDIsNotTakenOnReusedConnection(t *testing.T) {
+	var mu sync.Mutex
+	used := map[net.Conn]bool{}
+	e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, _ int) bool {
+		mu.Lock()
+		isReused := used[c]
+		used[c] = true
+		mu.Unlock()
+		if isReused {
+			if _, err := fmt.Fprint(c, "HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nwrong"); err != nil {
+				return false
+			}
+		}
+		return respond(c, r, 200, "", "right")
+	})
+	f := newFixture(t, e)
+	for n, want := range []int{200, 502, 200, 502} {
+		got := f.send(t, "/once/", "", "Id", strconv.Itoa(n))
+		assert.Equal(t, got.status, want)
+		assert.Assert(t, got.body != "wrong")
+	}
+}
+
 // TestExtraBytesPreventReuse guards against treating bytes after a response as the next response.
 func TestExtraBytesPreventReuse(t *testing.T) {
 	e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, _ int) bool {
@@ -982,22 +1007,60 @@
 }
 
 // TestBytesAfterAnAnswerReachNobody guards against the bytes that an endpoint sends after a complete answer, at once or
-// late, becoming part of the next answer on the connection.
+// late, becoming part of the next answer on the connection. Callers may give their requests the same ID or none.
 func TestBytesAfterAnAnswerReachNobody(t *testing.T) {
-	for _, late := range []time.Duration{0, 50 * time.Millisecond} {
-		e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, n int) bool {
-			if !respond(c, r, 200, "", "answer "+strconv.Itoa(n)) {
-				return false
+	for _, ids := range [][]string{{"same", "same", "same", "same"}, {"1", "2", "3", "4"}, {"", "", "", ""}, {"1", "", "2", "1"}} {
+		for _, late := range []time.Duration{0, 50 * time.Millisecond} {
+			e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, n int) bool {
+				if !respond(c, r, 200, "", "answer "+strconv.Itoa(n)) {
+					return false
+				}
+				time.Sleep(late)
+				return respond(c, r, 200, "", "second copy")
+			})
+			f := newFixture(t, e)
+			for n, id := range ids {
+				got := f.send(t, "/once/", "", "Id", id)
+				assert.Equal(t, got.status, 200)
+				assert.Equal(t, got.body, "answer "+strconv.Itoa(n+1), "requests %q", ids)
+				time.Sleep(2 * late)
+			}
+		}
+	}
+}
+
+// TestLateCopyOfAnswerIsNotTakenForTheNext guards against the second copy of an answer, sent in front of the next answer
+// on the connection, being taken for that one: after a rejection, the request would run twice.
+func TestLateCopyOfAnswerIsNotTakenForTheNext(t *testing.T) {
+	for _, id := range []string{"id", ""} {
+		for _, path := range []string{"/once/", "/stream/", "/again/"} {
+			var runs atomic.Int64
+			copies := map[net.Conn]func() bool{}
+			var mu sync.Mutex
+			e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, n int) bool {
+				mu.Lock()
+				late := copies[c]
+				delete(copies, c)
+				mu.Unlock()
+				if late != nil && !late() {
+					return false
+				}
+				if n%2 == 0 {
+					runs.Add(1)
+					return respond(c, r, 200, "", streamText(n, n))
+				}
+				mu.Lock()
+				copies[c] = func() bool { return respond(c, r, 421, "", "") }
+				mu.Unlock()
+				return respond(c, r, 421, "", "")
+			})
+			f := newFixture(t, e)
+			for n := range 3 {
+				got := f.send(t, path, "", "Id", id)
+				assert.Equal(t, got.status, 200, "request %d with the ID %q to %s: %s", n, id, path, got.body)
+				assert.Equal(t, got.body, streamText(2*n+2, 2*n+2))
+				assert.Equal(t, runs.Load(), int64(n+1), "request %d with the ID %q to %s", n, id, path)
 			}
-			time.Sleep(late)
-			return respond(c, r, 200, "", "second copy")
-		})
-		f := newFixture(t, e)
-		for n := range 4 {
-			got := f.send(t, "/once/", "")
-			assert.Equal(t, got.status, 200)
-			assert.Equal(t, got.body, "answer "+strconv.Itoa(n+1))
-			time.Sleep(2 * late)
 		}
 	}
 }
