A copied table keeps retained rows apart from the store's rows

Cause: after an outage of the store an entry retains removed rows for a while. It kept them among the store's rows, so that an entry which copied its table took them for live ones under the newest version. That entry's next read began after the removal, and nothing took the row away again.

Evidence: in each case an entry logs "table copied from a peer" that retains the row, and never a removal; entries without a copy drop it. Ruled out: a retention that begins anew, a removal lost between reads.

Change: a follower holds exactly the store's rows as of its version, and beside them the removed rows that it still uses, with an end for each. Copies and relayed reads name those rows with the time left; a receiver uses them no longer, and only if they are in use there.

--- /dev/null
+++ b/internal/registrar/fleet_test.go
@@ -0,0 +1,362 @@
+package registrar_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"geraniumladder/internal/registrar"
+)
+
+// Times of the simulated platform and of the processes that follow it.
+const (
+	transit         = 2 * time.Millisecond
+	renewInterval   = 1200 * time.Millisecond
+	lapseIntervals  = 3
+	lapseCheck      = 50 * time.Millisecond
+	pollInterval    = 500 * time.Millisecond
+	copyInterval    = 250 * time.Millisecond
+	copyAfter       = 200 * time.Millisecond
+	fleetEndpoints  = 4
+	observeInterval = 20 * time.Millisecond
+	// quietTime is the time without trouble at the end of a schedule.
+	quietTime = 8 * time.Second
+)
+
+// outage is a time in which the store does not serve a follower, or all of them and the endpoints if follower is -1.
+type outage struct {
+	at, length time.Duration
+	follower   int
+	// isSilent outages give no answer; the others refuse at once.
+	isSilent bool
+}
+
+// leave is the removal of an endpoint that does not come back. While the store is away the endpoint only stops renewing.
+type leave struct {
+	at       time.Duration
+	endpoint int
+}
+
+// fleetSchedule is one order of events.
+type fleetSchedule struct {
+	followers int
+	relay     time.Duration
+	// startAfter and phase are the starts of the followers and of the endpoints' renewals.
+	startAfter, phase []time.Duration
+	// lapsesLate makes registrations lapse only when the store is back.
+	lapsesLate bool
+	outages    []outage
+	leaves     []leave
+	// compactions are the times at which the store's history is lost.
+	compactions []time.Duration
+	length      time.Duration
+}
+
+// drawTime draws a time up to most; times of a few milliseconds apart are as likely as others.
+func drawTime(t *rapid.T, most time.Duration, label string) time.Duration {
+	return time.Duration(rapid.IntRange(0, int(most/time.Millisecond)).Draw(t, label)) * time.Millisecond
+}
+
+func drawSchedule(t *rapid.T) fleetSchedule {
+	s := fleetSchedule{
+		followers: rapid.IntRange(1, 4).Draw(t, "followers"), lapsesLate: rapid.Bool().Draw(t, "lapses late"),
+		relay: rapid.SampledFrom([]time.Duration{0, 500 * time.Millisecond}).Draw(t, "relay"),
+	}
+	for range s.followers {
+		s.startAfter = append(s.startAfter, drawTime(t, pollInterval, "start"))
+	}
+	for range fleetEndpoints {
+		s.phase = append(s.phase, drawTime(t, renewInterval, "phase"))
+	}
+	at := 5 * time.Second
+	for range rapid.IntRange(1, 3).Draw(t, "outages") {
+		o := outage{
+			at: at, follower: rapid.IntRange(-1, s.followers-1).Draw(t, "follower"), isSilent: rapid.Bool().Draw(t, "silent"),
+			length: rapid.SampledFrom([]time.Duration{0, 170, 1000, 2840, 4500}).Draw(t, "length")*time.Millisecond + drawTime(t, 600*time.Millisecond, "more"),
+		}
+		s.outages = append(s.outages, o)
+		if rapid.Bool().Draw(t, "leaves") {
+			// Leaving just before, in or just after the outage.
+			s.leaves = append(s.leaves, leave{
+				at: o.at - 100*time.Millisecond + drawTime(t, o.length+200*time.Millisecond, "leave"), endpoint: rapid.IntRange(0, fleetEndpoints-2).Draw(t, "endpoint"),
+			})
+		}
+		if rapid.IntRange(0, 3).Draw(t, "compacts") == 0 {
+			s.compactions = append(s.compactions, o.at+drawTime(t, o.length+time.Second, "compaction"))
+		}
+		at += o.length + drawTime(t, 6*time.Second, "pause")
+	}
+	s.length = at + quietTime
+	return s
+}
+
+// fleetStore is a store whose registrations lapse, with outages for all or some of its callers.
+type fleetStore struct {
+	fakeStore
+	begin    time.Time
+	schedule *fleetSchedule
+	renewed  map[string]time.Time
+	// leftAt holds the times at which the removal of endpoints was confirmed.
+	leftAt map[string]time.Time
+}
+
+// trouble returns the outage that affects the follower now, or the endpoints if follower is -1.
+func (s *fleetStore) trouble(follower int) *outage {
+	now := time.Since(s.begin)
+	for i, o := range s.schedule.outages {
+		if (o.follower == -1 || o.follower == follower) && now >= o.at && now < o.at+o.length {
+			return &s.schedule.outages[i]
+		}
+	}
+	return nil
+}
+
+// pass waits for one way between follower and store.
+func (s *fleetStore) pass(ctx context.Context, follower int) error {
+	time.Sleep(transit)
+	o := s.trouble(follower)
+	switch {
+	case o == nil:
+		return ctx.Err()
+	case o.isSilent:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return errUnavailable
+}
+
+// fleetSource is the store as one follower sees it.
+type fleetSource struct {
+	*fleetStore
+	follower int
+}
+
+// callTimeout is that of the platform's client.
+const callTimeout = 1200 * time.Millisecond
+
+func (s fleetSource) ReadTable(ctx context.Context, table string) (registrar.Rows, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := s.pass(ctx, s.follower); err != nil {
+		return registrar.Rows{}, err
+	}
+	rows, err := s.fleetStore.ReadTable(ctx, table)
+	if err == nil {
+		err = s.pass(ctx, s.follower)
+	}
+	return rows, err
+}
+
+func (s fleetSource) ReadChanges(ctx context.Context, table string, after int64, wait time.Duration) (registrar.Rows, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	defer cancel()
+	if err := s.pass(ctx, s.follower); err != nil {
+		return registrar.Rows{}, err
+	}
+	rows, err := s.fleetStore.ReadChanges(ctx, table, after, wait)
+	if err == nil {
+		err = s.pass(ctx, s.follower)
+	}
+	return rows, err
+}
+
+// renew renews the registration of one endpoint until it leaves.
+func (s *fleetStore) renew(ctx context.Context, endpoint int) {
+	key := strconv.Itoa(endpoint)
+	leaveAt := s.schedule.length + time.Hour
+	for _, l := range s.schedule.leaves {
+		if l.endpoint == endpoint {
+			leaveAt = min(leaveAt, l.at)
+		}
+	}
+	sleepUntil := func(at time.Duration) bool {
+		select {
+		case <-time.After(time.Until(s.begin.Add(min(at, leaveAt)))):
+			return at < leaveAt
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for at := s.schedule.phase[endpoint] - renewInterval; sleepUntil(at); at += renewInterval {
+		if s.trouble(-1) != nil {
+			continue
+		}
+		s.mu.Lock()
+		_, isListed := s.rows[key]
+		s.renewed[key] = time.Now()
+		s.mu.Unlock()
+		if !isListed {
+			s.put(key, "registered")
+		}
+	}
+	if ctx.Err() != nil || s.trouble(-1) != nil {
+		return
+	}
+	s.remove(key)
+	s.mu.Lock()
+	s.leftAt[key] = time.Now()
+	s.mu.Unlock()
+}
+
+// expire removes registrations that are not renewed.
+func (s *fleetStore) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(lapseCheck)
+		if s.schedule.lapsesLate && s.trouble(-1) != nil {
+			continue
+		}
+		s.mu.Lock()
+		var lapsed []string
+		for key := range s.rows {
+			if time.Since(s.renewed[key]) > lapseIntervals*renewInterval {
+				lapsed = append(lapsed, key)
+			}
+		}
+		s.mu.Unlock()
+		for _, key := range lapsed {
+			s.remove(key)
+		}
+	}
+}
+
+// fleet is a number of followers of one store that copy and relay their tables to one another.
+type fleet struct {
+	store     *fleetStore
+	followers []*registrar.Follower
+	goroutine sync.WaitGroup
+}
+
+func (f *fleet) start(ctx context.Context) {
+	run := func(work func()) {
+		f.goroutine.Add(1)
+		go func() {
+			defer f.goroutine.Done()
+			work()
+		}()
+	}
+	s := f.store.schedule
+	for i := range s.followers {
+		name := strconv.Itoa(i)
+		follower := registrar.NewFollower(registrar.FollowerConfig{
+			Table: "endpoints", Source: fleetSource{fleetStore: f.store, follower: i}, Pause: pollInterval, RetainsAfterOutage: true,
+			OnChange: func(registrar.Table) {}, Now: time.Now, Log: zerolog.Nop(), Name: name,
+			Relay: func(c registrar.Changes) {
+				for j, other := range f.followers {
+					if j != i {
+						run(func() {
+							time.Sleep(transit)
+							other.HandleRelayed(name, c)
+						})
+					}
+				}
+			},
+		})
+		follower.SetRelayInterval(s.relay)
+		f.followers = append(f.followers, follower)
+	}
+	for i, follower := range f.followers {
+		run(func() {
+			time.Sleep(s.startAfter[i])
+			_ = follower.Run(ctx)
+		})
+		run(func() { f.copyTables(ctx, i) })
+	}
+	for endpoint := range fleetEndpoints {
+		run(func() { f.store.renew(ctx, endpoint) })
+	}
+	run(func() { f.store.expire(ctx) })
+	for _, at := range s.compactions {
+		run(func() {
+			time.Sleep(time.Until(f.store.begin.Add(at)))
+			f.store.update(func() { f.store.oldest = f.store.version })
+		})
+	}
+}
+
+// copyTables copies newer tables from the other followers while the store doesn't answer.
+func (f *fleet) copyTables(ctx context.Context, own int) {
+	for ctx.Err() == nil {
+		time.Sleep(copyInterval)
+		follower := f.followers[own]
+		version := follower.Table().Version
+		if version > 0 && follower.FailingFor() < copyAfter {
+			continue
+		}
+		for j, other := range f.followers {
+			if j == own || other.Table().Version <= version {
+				continue
+			}
+			askedAt := time.Now()
+			time.Sleep(transit)
+			rows := other.Copy()
+			time.Sleep(transit)
+			follower.Merge(rows, askedAt)
+			break
+		}
+	}
+}
+
+// observe plays the schedule and passes what each follower has to check, until check returns an error.
+func observe(t *testing.T, s fleetSchedule, check func(f *fleet, follower int, has func(key string) bool) error) error {
+	var failure error
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{store: &fleetStore{
+			fakeStore: *newFakeStore(), begin: time.Now(), schedule: &s, renewed: map[string]time.Time{}, leftAt: map[string]time.Time{},
+		}}
+		f.start(ctx)
+		for time.Since(f.store.begin) < s.length && failure == nil {
+			time.Sleep(observeInterval)
+			for i, follower := range f.followers {
+				rows := follower.Table().Rows
+				has := func(key string) bool { _, ok := rows[key]; return ok }
+				failure = cmp.Or(failure, check(f, i, has))
+			}
+		}
+		cancel()
+		f.goroutine.Wait()
+	})
+	return failure
+}
+
+// TestRemovedRowStaysRemoved guards against an endpoint that has left and comes back, or never goes, in a process that
+// copies the table from another one which still retains the row. It plays many orders of outages, reads, copies and
+// relayed reads.
+func TestRemovedRowStaysRemoved(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := drawSchedule(r)
+		type place struct {
+			follower int
+			key      string
+		}
+		dropped := map[place]bool{}
+		err := observe(t, s, func(f *fleet, follower int, has func(key string) bool) error {
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			now := time.Since(f.store.begin)
+			for key, leftAt := range f.store.leftAt {
+				p := place{follower: follower, key: key}
+				switch {
+				case has(key) && dropped[p]:
+					return fmt.Errorf("at %v follower %d lists %s again, which left at %v", now, follower, key, leftAt.Sub(f.store.begin))
+				case has(key) && now > s.length-time.Second:
+					return fmt.Errorf("at %v follower %d still lists %s, which left at %v", now, follower, key, leftAt.Sub(f.store.begin))
+				case !has(key):
+					dropped[p] = true
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			r.Fatalf("%v\noutages %+v\nleaves %+v\ncompactions %v", err, s.outages, s.leaves, s.compactions)
+		}
+	})
+}
--- a/internal/registrar/follower.go
+++ b/internal/registrar/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,9 @@
 	Version int64
 	// IsDeleted is set when the row was removed.
 	IsDeleted bool
+	// RetainedFor is set in rows that another process passes on: the time for which that process goes on using the
+	// removed row. Value and Version are then those of the row before its removal.
+	RetainedFor time.Duration
 }
 
 // Rows is the result of a read from the store.
@@ -80,7 +84,14 @@
 type Table struct {
 	// Version is 0 before the first read.
 	Version int64
-	Rows    map[string]Row
+	// Rows are the rows to use: those of the store at the version, and removed ones that are retained.
+	Rows map[string]Row
+}
+
+// retainedRow is a removed row that stays in use for a while.
+type retainedRow struct {
+	row   Row
+	until time.Time
 }
 
 // Follower keeps a local copy of one table up to date. It is safe for use by several goroutines.
@@ -93,14 +104,17 @@
 
 	mu      sync.Mutex
 	relayer relayer.Relayer
-	table   Table
+	// version is the version of rows, 0 before the first read. rows are exactly the store's rows at that version, so that
+	// they can be passed on to other processes. The map is never modified.
+	version int64
+	rows    map[string]Row
+	// retained holds rows that were removed during an outage and stay in use for a while. No key is also in rows.
+	retained map[string]retainedRow
 	// hasSnapshot is set once the whole table has been read, and cleared when the store's history is lost. The version
 	// cannot serve for this, because an empty store is at version 0.
 	hasSnapshot bool
-	// retainedUntil holds the keys of rows removed during an outage, with the times until which they are retained.
-	retainedUntil map[string]time.Time
-	lastSuccess   time.Time
-	inOutage      bool
+	lastSuccess time.Time
+	inOutage    bool
 	// failingSince is the time of the first of the consecutive failures; zero after a successful read.
 	failingSince time.Time
 }
@@ -109,7 +123,7 @@
 func NewFollower(c FollowerConfig) *Follower {
 	f := &Follower{
 		config: c, start: c.Now(), wake: make(chan struct{}, 1), relayer: relayer.New(relayer.Config{Name: c.Name}),
-		retainedUntil: map[string]time.Time{}, lastSuccess: c.Now(),
+		retained: map[string]retainedRow{}, lastSuccess: c.Now(),
 	}
 	f.SetPause(c.Pause)
 	return f
@@ -134,7 +148,7 @@
 		f.mu.Unlock()
 		return
 	}
-	if c.From > f.table.Version {
+	if c.From > f.version {
 		f.relayer = f.relayer.WithOwnRead()
 		f.mu.Unlock()
 		f.wakeRun()
@@ -142,7 +156,7 @@
 	}
 	f.relayer = f.relayer.WithRelayed(peer, f.config.Now().Sub(f.start))
 	f.mu.Unlock()
-	f.apply(c.Rows)
+	f.apply(c.Rows, false)
 }
 
 func (f *Follower) wakeRun() {
@@ -214,7 +228,7 @@
 // poll reads the changes since the last read, or the whole table at first and after the history was lost.
 func (f *Follower) poll(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
-	after := f.table.Version
+	after := f.version
 	needsSnapshot := !f.hasSnapshot
 	f.mu.Unlock()
 	if needsSnapshot {
@@ -222,15 +236,14 @@
 		if err != nil {
 			return err
 		}
-		f.replace(rows, true)
-		return nil
+		return f.replace(rows)
 	}
 	begin := f.config.Now()
 	rows, err := f.config.Source.ReadChanges(ctx, f.config.Table, after, wait)
 	if err != nil {
 		return err
 	}
-	f.apply(rows)
+	f.apply(rows, true)
 	f.relay(after, rows, f.config.Now().Sub(begin)-wait)
 	return nil
 }
@@ -240,9 +253,15 @@
 func (f *Follower) relay(from int64, rows Rows, excess time.Duration) {
 	f.mu.Lock()
 	isRelaying := f.config.Relay != nil && f.relayer.Interval() > 0
+	c := Changes{From: from, Rows: Rows{Version: rows.Version, Rows: slices.Clone(rows.Rows)}}
+	for i, row := range c.Rows.Rows {
+		if retained, ok := f.retained[row.Key]; ok && row.IsDeleted {
+			c.Rows.Rows[i].RetainedFor = retained.until.Sub(f.config.Now())
+		}
+	}
 	f.mu.Unlock()
 	if isRelaying && excess < outageThreshold {
-		f.config.Relay(Changes{From: from, Rows: rows})
+		f.config.Relay(c)
 	}
 }
 
@@ -261,7 +280,7 @@
 	}
 	if !f.inOutage && f.config.Now().Sub(f.lastSuccess) > outageThreshold {
 		f.inOutage = true
-		f.config.Log.Warn().Str("Table", f.config.Table).Int64("Version", f.table.Version).
+		f.config.Log.Warn().Str("Table", f.config.Table).Int64("Version", f.version).
 			Dur("SinceAnswer", f.config.Now().Sub(f.lastSuccess)).Err(err).Msg("registrar: store lost")
 	}
 }
@@ -273,104 +292,146 @@
 	// Relayed reads may be up to two intervals apart.
 	endedOutage = now.Sub(f.lastSuccess) > outageThreshold+max(f.config.Wait, 2*f.relayer.Interval())
 	if f.inOutage {
-		f.config.Log.Info().Str("Table", f.config.Table).Int64("Version", f.table.Version).
+		f.config.Log.Info().Str("Table", f.config.Table).Int64("Version", f.version).
 			Dur("SinceAnswer", now.Sub(f.lastSuccess)).Msg("registrar: store regained")
 	}
 	f.inOutage, f.lastSuccess, f.failingSince = false, now, time.Time{}
 	return endedOutage
 }
 
-// replace replaces the whole table and reports whether it did. A peer's copy is accepted only if it is newer.
-func (f *Follower) replace(rows Rows, fromStore bool) bool {
+// errOlderSnapshot means that the copy was brought to a newer version while the store's snapshot was read.
+var errOlderSnapshot = errors.New("the snapshot is older than a copy that was received meanwhile; it is read again")
+
+// replace replaces the whole table with the store's.
+func (f *Follower) replace(rows Rows) error {
 	f.mu.Lock()
-	current := f.table.Version
-	if !fromStore && rows.Version <= current {
+	if rows.Version < f.version {
 		f.mu.Unlock()
-		return false
-	}
-	endedOutage := false
-	if fromStore {
-		endedOutage = f.recordSuccess()
-		f.hasSnapshot = true
+		return errOlderSnapshot
 	}
+	endedOutage := f.recordSuccess()
+	f.hasSnapshot = true
 	next := make(map[string]Row, len(rows.Rows))
 	for _, row := range rows.Rows {
 		next[row.Key] = row
-		delete(f.retainedUntil, row.Key)
+		delete(f.retained, row.Key)
 	}
-	// A peer's copy comes from a store that answered the peer, so rows that it lacks really are removed. Missing rows
-	// are retained only if the store itself has answered and its answer has ended an outage.
-	if f.config.RetainsAfterOutage && current > 0 && endedOutage {
-		for key, row := range f.table.Rows {
+	if f.config.RetainsAfterOutage && endedOutage {
+		for key, row := range f.rows {
 			if _, ok := next[key]; !ok {
-				next[key] = row
-				f.retain(key)
+				f.retain(row)
 			}
 		}
 	}
-	f.table = Table{Version: rows.Version, Rows: next}
-	table := f.table
+	f.version, f.rows = rows.Version, next
+	table := f.tableLocked()
 	f.mu.Unlock()
 	f.config.OnChange(table)
-	return true
+	return nil
 }
 
 // retain starts the retention time of a row removed during an outage.
-func (f *Follower) retain(key string) {
-	if _, ok := f.retainedUntil[key]; !ok {
-		f.retainedUntil[key] = f.config.Now().Add(lapsedRetention)
-		f.config.Log.Info().Str("Table", f.config.Table).Str("Key", key).Msg("registrar: row removed during an outage, retained temporarily")
-	}
+func (f *Follower) retain(row Row) {
+	f.retained[row.Key] = retainedRow{row: row, until: f.config.Now().Add(lapsedRetention)}
+	f.config.Log.Info().Str("Table", f.config.Table).Str("Key", row.Key).Msg("registrar: row removed during an outage, retained temporarily")
 }
 
-// apply applies changes from the store and removes rows whose retention time has ended.
-func (f *Follower) apply(rows Rows) {
+// apply applies changes and removes rows whose retention time has ended. The process that has read changes from the store
+// decides which of the removed rows are retained.
+func (f *Follower) apply(rows Rows, isOwnRead bool) {
 	f.mu.Lock()
 	endedOutage := f.recordSuccess()
 	now := f.config.Now()
-	changed := false
-	next := f.table.Rows
-	ensureCopy := func() {
-		if !changed {
-			next, changed = maps.Clone(next), true
+	next, isCloned, changed := f.rows, false, false
+	write := func() map[string]Row {
+		if !isCloned {
+			next, isCloned, changed = maps.Clone(next), true, true
 		}
+		return next
 	}
 	for _, row := range rows.Rows {
-		if row.Version <= f.table.Version {
+		if row.Version <= f.version {
 			continue
 		}
-		_, known := next[row.Key]
+		if !row.IsDeleted {
+			write()[row.Key] = row
+			delete(f.retained, row.Key)
+			continue
+		}
+		removed, known := next[row.Key]
+		if !known {
+			continue
+		}
+		delete(write(), row.Key)
 		switch {
-		case !row.IsDeleted:
-			ensureCopy()
-			next[row.Key] = row
-			delete(f.retainedUntil, row.Key)
-		case known && f.config.RetainsAfterOutage && endedOutage:
-			f.retain(row.Key)
-		case known:
-			ensureCopy()
-			delete(next, row.Key)
-			delete(f.retainedUntil, row.Key)
+		case !f.config.RetainsAfterOutage:
+		case isOwnRead && endedOutage:
+			f.retain(removed)
+		case !isOwnRead && row.RetainedFor > 0:
+			f.retained[row.Key] = retainedRow{row: removed, until: now.Add(row.RetainedFor)}
 		}
 	}
-	for key, until := range f.retainedUntil {
-		if !now.Before(until) {
-			ensureCopy()
-			delete(next, key)
-			delete(f.retainedUntil, key)
+	for key, retained := range f.retained {
+		if !now.Before(retained.until) {
+			changed = true
+			delete(f.retained, key)
 			f.config.Log.Info().Str("Table", f.config.Table).Str("Key", key).Msg("registrar: row removed after its retention time")
 		}
 	}
-	f.table = Table{Version: max(rows.Version, f.table.Version), Rows: next}
-	table := f.table
+	f.version, f.rows = max(rows.Version, f.version), next
+	table := f.tableLocked()
 	f.mu.Unlock()
 	if changed {
 		f.config.OnChange(table)
 	}
 }
 
-// Merge replaces the table with a peer's copy if that is newer, and reports whether it did.
-func (f *Follower) Merge(rows Rows) bool { return f.replace(rows, false) }
+// Merge replaces the table with the copy of a peer that was asked for it at askedAt, if the copy is newer, and reports
+// whether it did. The copy comes from a store that answered the peer, so rows that it lacks really are removed; those that
+// the peer retains stay in use for no longer than there, and only if they are in use here.
+func (f *Follower) Merge(rows Rows, askedAt time.Time) bool {
+	f.mu.Lock()
+	if rows.Version <= f.version {
+		f.mu.Unlock()
+		return false
+	}
+	next := make(map[string]Row, len(rows.Rows))
+	retained := map[string]retainedRow{}
+	for _, row := range rows.Rows {
+		if !row.IsDeleted {
+			next[row.Key] = row
+			continue
+		}
+		until := askedAt.Add(row.RetainedFor)
+		_, isLive := f.rows[row.Key]
+		previous, isRetained := f.retained[row.Key]
+		if isRetained && previous.until.Before(until) {
+			until = previous.until
+		}
+		if f.config.RetainsAfterOutage && (isLive || isRetained || f.version == 0) {
+			row.IsDeleted, row.RetainedFor = false, 0
+			retained[row.Key] = retainedRow{row: row, until: until}
+		}
+	}
+	f.version, f.rows, f.retained = rows.Version, next, retained
+	table := f.tableLocked()
+	f.mu.Unlock()
+	f.config.OnChange(table)
+	return true
+}
+
+// Copy returns the content for a peer, see Merge. Retained rows are marked as deleted.
+func (f *Follower) Copy() Rows {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows := Rows{Version: f.version, Rows: slices.Collect(maps.Values(f.rows))}
+	for _, retained := range f.retained {
+		row := retained.row
+		row.IsDeleted, row.RetainedFor = true, max(0, retained.until.Sub(f.config.Now()))
+		rows.Rows = append(rows.Rows, row)
+	}
+	return rows
+}
 
 // Name returns the name of the table.
 func (f *Follower) Name() string { return f.config.Table }
@@ -379,7 +440,19 @@
 func (f *Follower) Table() Table {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table
+	return f.tableLocked()
+}
+
+// tableLocked returns the current content. The caller holds mu.
+func (f *Follower) tableLocked() Table {
+	if len(f.retained) == 0 {
+		return Table{Version: f.version, Rows: f.rows}
+	}
+	rows := maps.Clone(f.rows)
+	for key, retained := range f.retained {
+		rows[key] = retained.row
+	}
+	return Table{Version: f.version, Rows: rows}
 }
 
 // FailingFor returns how long reads have been failing; 0 if the last one succeeded.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -208,12 +208,68 @@
 		s.update(func() { s.isUnavailable = true })
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, f.FailingFor() > time.Second)
-		assert.Assert(t, f.Merge(registrar.Rows{Version: 9}))
+		assert.Assert(t, f.Merge(registrar.Rows{Version: 9}, time.Now()))
 		assert.Assert(t, !f.has("left"))
 		f.stop()
 	})
 }
 
+// TestRetainedRowIsNotCopiedAsLive guards against a process that takes a row from a peer's copy for a live one although
+// the peer only retains it after an outage: nothing would ever remove the row.
+func TestRetainedRowIsNotCopiedAsLive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("left", "1")
+		s.put("stays", "1")
+		peer, copying := startFollower(t, s, true), startFollower(t, s, true)
+		time.Sleep(time.Second)
+		copying.stop()
+		gone := registrar.NewFollower(registrar.FollowerConfig{
+			Table: "endpoints", Source: s, RetainsAfterOutage: true, OnChange: func(registrar.Table) {}, Now: time.Now, Log: zerolog.Nop(),
+		})
+		assert.Assert(t, gone.Merge(registrar.Rows{Version: 2, Rows: []registrar.Row{{Key: "stays", Value: []byte("1"), Version: 2}}}, time.Now()))
+		s.update(func() { s.isUnavailable = true })
+		time.Sleep(5 * time.Second)
+		s.remove("left")
+		s.update(func() { s.isUnavailable = false })
+		time.Sleep(time.Second)
+		assert.Assert(t, peer.has("left"), "the peer retains the row")
+		assert.Assert(t, copying.Merge(peer.Copy(), time.Now()))
+		assert.Assert(t, gone.Merge(peer.Copy(), time.Now()))
+		_, isBack := gone.Table().Rows["left"]
+		assert.Assert(t, !isBack, "a row that was dropped must not come back")
+		assert.Assert(t, copying.has("left"), "a row in use is retained as at the peer")
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan error)
+		go func() { end <- copying.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !peer.has("left") && peer.has("stays"))
+		assert.Assert(t, !copying.has("left") && copying.has("stays"))
+		cancel()
+		assert.Check(t, errors.Is(<-end, context.Canceled))
+		peer.stop()
+	})
+}
+
+// TestSnapshotOlderThanTheCopyIsNotTaken guards against rows that come back when the store's snapshot was read before a
+// newer copy arrived from a peer.
+func TestSnapshotOlderThanTheCopyIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("left", "1")
+		s.put("stays", "1")
+		f := startFollower(t, s, true)
+		f.Merge(registrar.Rows{Version: 3, Rows: []registrar.Row{{Key: "stays", Value: []byte("1"), Version: 2}}}, time.Now())
+		time.Sleep(time.Second)
+		assert.Assert(t, !f.has("left"))
+		s.remove("left")
+		time.Sleep(time.Second)
+		assert.Assert(t, !f.has("left") && f.has("stays"))
+		assert.Equal(t, f.Table().Version, int64(3))
+		f.stop()
+	})
+}
+
 // TestMergeOnlyForward checks that an older copy from a peer does not replace a newer one.
 func TestMergeOnlyForward(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -223,10 +279,10 @@
 		f := startFollower(t, s, false)
 		time.Sleep(time.Second)
 		old := registrar.Rows{Version: 1, Rows: []registrar.Row{{Key: "a", Value: []byte("1"), Version: 1}}}
-		assert.Assert(t, !f.Merge(old))
+		assert.Assert(t, !f.Merge(old, time.Now()))
 		assert.Equal(t, string(f.Table().Rows["a"].Value), "2")
 		s.update(func() { s.isUnavailable = true })
-		assert.Assert(t, f.Merge(registrar.Rows{Version: 9, Rows: []registrar.Row{{Key: "a", Value: []byte("3"), Version: 9}}}))
+		assert.Assert(t, f.Merge(registrar.Rows{Version: 9, Rows: []registrar.Row{{Key: "a", Value: []byte("3"), Version: 9}}}, time.Now()))
 		assert.Equal(t, string(f.Table().Rows["a"].Value), "3")
 		f.stop()
 	})
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -280,14 +280,15 @@
 			continue
 		}
 		for _, address := range e.sharer.PeersWithNewer(f.Name(), table.Version) {
+			askedAt := time.Now()
 			rows, err := fetchTable(ctx, address, f.Name())
 			if err != nil {
 				e.log.Warn().Err(err).Str("Peer", address).Str("Table", f.Name()).Msg("entry: table could not be copied from peer")
 				continue
 			}
-			if f.Merge(rows) {
+			if f.Merge(rows, askedAt) {
 				e.log.Info().Str("Peer", address).Str("Table", f.Name()).Int64("From", table.Version).
-					Int64("To", rows.Version).Msg("entry: table copied from a peer")
+					Int64("To", rows.Version).Strs("Retained", retainedKeys(rows)).Msg("entry: table copied from a peer")
 			}
 			break
 		}
@@ -316,12 +317,23 @@
 		return registrar.Rows{}, errors.Wrap(err, "decode table from peer")
 	}
 	rows := registrar.Rows{Version: copied.Version}
-	for _, r := range copied.Rows {
-		rows.Rows = append(rows.Rows, registrar.Row{Key: r.Key, Value: r.Value, Version: r.Version})
+	for _, r := range append(copied.Rows, copied.Retained...) {
+		rows.Rows = append(rows.Rows, decodeRow(r))
 	}
 	return rows, nil
 }
 
+// retainedKeys returns the keys of the rows that a peer still uses although they are deleted.
+func retainedKeys(rows registrar.Rows) []string {
+	var keys []string
+	for _, r := range rows.Rows {
+		if r.IsDeleted {
+			keys = append(keys, r.Key)
+		}
+	}
+	return keys
+}
+
 // peerHandler serves requests of the other entries.
 func (e *Entry) peerHandler() http.Handler {
 	router := echo.New()
@@ -330,10 +342,14 @@
 			if f.Name() != c.Param("table") {
 				continue
 			}
-			t := f.Table()
-			copied := wire.TableCopy{Table: f.Name(), Version: t.Version, Rows: []wire.TableRow{}}
-			for _, r := range t.Rows {
-				copied.Rows = append(copied.Rows, wire.TableRow{Key: r.Key, Value: r.Value, Version: r.Version})
+			rows := f.Copy()
+			copied := wire.TableCopy{Table: f.Name(), Version: rows.Version, Rows: make([]wire.TableRow, 0, len(rows.Rows))}
+			for _, r := range rows.Rows {
+				if r.IsDeleted {
+					copied.Retained = append(copied.Retained, encodeRow(r))
+				} else {
+					copied.Rows = append(copied.Rows, encodeRow(r))
+				}
 			}
 			return c.JSON(http.StatusOK, copied)
 		}
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -1,6 +1,8 @@
 package resident
 
 import (
+	"time"
+
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
 	"geraniumladder/pkg/relayer"
@@ -37,7 +39,7 @@
 				Rows: make([]wire.TableRow, 0, len(part.Rows.Rows)),
 			}
 			for _, r := range part.Rows.Rows {
-				m.Rows = append(m.Rows, wire.TableRow{Key: r.Key, Value: r.Value, Version: r.Version, IsDeleted: r.IsDeleted})
+				m.Rows = append(m.Rows, encodeRow(r))
 			}
 			e.gossiper.Send(kindTableChanges, m, to...)
 		}
@@ -47,7 +49,7 @@
 func (e *Entry) handleTableChanges(m wire.TableChanges) {
 	c := registrar.Changes{From: m.From, Rows: registrar.Rows{Version: m.Version, Rows: make([]registrar.Row, 0, len(m.Rows))}}
 	for _, r := range m.Rows {
-		c.Rows.Rows = append(c.Rows.Rows, registrar.Row{Key: r.Key, Value: r.Value, Version: r.Version, IsDeleted: r.IsDeleted})
+		c.Rows.Rows = append(c.Rows.Rows, decodeRow(r))
 	}
 	for _, f := range []*registrar.Follower{e.operators, e.endpoints} {
 		if f.Name() == m.Table {
@@ -55,3 +57,16 @@
 		}
 	}
 }
+
+func encodeRow(r registrar.Row) wire.TableRow {
+	return wire.TableRow{
+		Key: r.Key, Value: r.Value, Version: r.Version, IsDeleted: r.IsDeleted, RetainedMilliseconds: r.RetainedFor.Milliseconds(),
+	}
+}
+
+func decodeRow(r wire.TableRow) registrar.Row {
+	return registrar.Row{
+		Key: r.Key, Value: r.Value, Version: r.Version, IsDeleted: r.IsDeleted,
+		RetainedFor: time.Duration(r.RetainedMilliseconds) * time.Millisecond,
+	}
+}
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -748,6 +748,10 @@
 
 // TableCopy One process's copy of a table of the platform's store.
 type TableCopy struct {
+	// Retained The deleted rows that the sender still uses, with their last values.
+	Retained []TableRow `json:"Retained,omitempty"`
+
+	// Rows The store's rows at the version.
 	Rows    []TableRow `json:"Rows"`
 	Table   string     `json:"Table"`
 	Version int64      `json:"Version"`
@@ -757,8 +761,11 @@
 type TableRow struct {
 	IsDeleted bool   `json:"IsDeleted,omitempty"`
 	Key       string `json:"Key"`
-	Value     []byte `json:"Value"`
-	Version   int64  `json:"Version"`
+
+	// RetainedMilliseconds In a deleted row, the time for which the sender goes on using it.
+	RetainedMilliseconds int64  `json:"RetainedMilliseconds,omitempty"`
+	Value                []byte `json:"Value"`
+	Version              int64  `json:"Version"`
 }
 
 // TableVersion defines model for TableVersion.
