Retention after an outage is counted from the store's return

Cause: any 1.2 s without an answer counted as an outage in which registrations lapse, which one swallowed read makes out of a blink; and the retention of removed rows began with the entry's own first answer and ended with a later read. 1.2 s, 0.1 s, 1.8 s and up to 0.5 s add up to more than the 3 s within which an entry must be in touch.

Ruled out: a late read (the removal was known 1.9 s before the bound), a copy from another entry (none was made).

Change: pkg/retainer, a pure value, decides from the reads that were and were not answered. A row is retained only if the store may have been away for two renewals, before which nothing can lapse, and until 2 s after the sending of the last unanswered read. The store was away then, so that the retention never ends later than 2 s after its return. It ends at its time, not with the next read. Relayed reads carry their age. A row added and removed between two reads was never in use and isn't retained.

--- a/internal/registrar/fleet_test.go
+++ b/internal/registrar/fleet_test.go
@@ -27,6 +27,10 @@
 	copyAfter       = 200 * time.Millisecond
 	fleetEndpoints  = 4
 	observeInterval = 20 * time.Millisecond
+	// leaveTime is how long an endpoint may be used after its removal, and contactTime how long after the end of trouble a
+	// process must keep to that again.
+	leaveTime   = 2 * time.Second
+	contactTime = 3 * time.Second
 	// quietTime is the time without trouble at the end of a schedule.
 	quietTime = 8 * time.Second
 )
@@ -119,6 +123,16 @@
 	return nil
 }
 
+// wasCalm reports whether no outage affected the follower, or all if it is -1, in the contactTime before a time.
+func (s *fleetStore) wasCalm(follower int, at time.Duration) bool {
+	for _, o := range s.schedule.outages {
+		if (o.follower == -1 || o.follower == follower) && o.at <= at && o.at+o.length > at-contactTime {
+			return false
+		}
+	}
+	return true
+}
+
 // pass waits for one way between follower and store.
 func (s *fleetStore) pass(ctx context.Context, follower int) error {
 	time.Sleep(transit)
@@ -246,7 +260,7 @@
 	for i := range s.followers {
 		name := strconv.Itoa(i)
 		follower := registrar.NewFollower(registrar.FollowerConfig{
-			Table: "endpoints", Source: fleetSource{fleetStore: f.store, follower: i}, Pause: pollInterval, RetainsAfterOutage: true,
+			Table: "endpoints", Source: fleetSource{fleetStore: f.store, follower: i}, Pause: pollInterval, Retention: retention,
 			OnChange: func(registrar.Table) {}, Now: time.Now, Log: zerolog.Nop(), Name: name,
 			Relay: func(c registrar.Changes) {
 				for j, other := range f.followers {
@@ -360,3 +374,27 @@
 		}
 	})
 }
+
+// TestRemovedRowIsUsedNoLongerThanAllowed guards against an endpoint that is used although the store has confirmed its
+// removal and the process is in touch again: a row removed beside a short outage was retained as if it had lapsed, for a
+// time that began with the process's own first read. It plays many orders of outages, removals and reads.
+func TestRemovedRowIsUsedNoLongerThanAllowed(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := drawSchedule(r)
+		err := observe(t, s, func(f *fleet, follower int, has func(key string) bool) error {
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			now := time.Since(f.store.begin)
+			for key, at := range f.store.leftAt {
+				leftAt := at.Sub(f.store.begin)
+				if has(key) && now > leftAt+leaveTime && f.store.wasCalm(-1, leftAt) && f.store.wasCalm(follower, now) {
+					return fmt.Errorf("at %v follower %d uses %s, which left at %v", now, follower, key, leftAt)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			r.Fatalf("%v\noutages %+v\nleaves %+v\ncompactions %v", err, s.outages, s.leaves, s.compactions)
+		}
+	})
+}
--- a/internal/registrar/follower.go
+++ b/internal/registrar/follower.go
@@ -11,7 +11,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"geraniumladder/internal/looper"
 	"geraniumladder/pkg/relayer"
+	"geraniumladder/pkg/retainer"
 )
 
 // ErrHistoryLost means that the store no longer has all of the requested changes. The whole table must be read again.
@@ -50,12 +52,9 @@
 	// outage well within the two seconds in which endpoints register again.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
-	// outageThreshold is the time without an answer after which the store is considered unavailable. It is several times
-	// the duration of a slow read.
+	// outageThreshold is the time without an answer after which the store is logged as lost. It is several times the
+	// duration of a slow read.
 	outageThreshold = 1200 * time.Millisecond
-	// lapsedRetention is how long rows that were removed during an outage are retained after it, because endpoints that
-	// are still running register again within about two seconds.
-	lapsedRetention = 1800 * time.Millisecond
 )
 
 // FollowerConfig configures a Follower.
@@ -67,8 +66,9 @@
 	// Pause is the time between two reads, which bounds the number of calls for a table that changes constantly.
 	// SetPause changes it.
 	Pause time.Duration
-	// RetainsAfterOutage retains rows that were removed during an outage until lapsedRetention after its end.
-	RetainsAfterOutage bool
+	// Retention decides how long rows that lapsed during an outage of the store stay in use. By default none does.
+	// SetRetention changes it.
+	Retention retainer.Config
 	// OnChange is called with the table after each change.
 	OnChange func(Table)
 	// Name is the name of this process among those that follow the table. Relay, if not nil, passes changes that the store
@@ -99,11 +99,12 @@
 	config FollowerConfig
 	pause  atomic.Int64
 	start  time.Time
-	// wake ends the wait for relayed reads.
-	wake chan struct{}
+	// wake ends the wait for relayed reads, and wakeExpiry that for the end of a retention.
+	wake, wakeExpiry chan struct{}
 
-	mu      sync.Mutex
-	relayer relayer.Relayer
+	mu       sync.Mutex
+	relayer  relayer.Relayer
+	retainer retainer.Retainer
 	// version is the version of rows, 0 before the first read. rows are exactly the store's rows at that version, so that
 	// they can be passed on to other processes. The map is never modified.
 	version int64
@@ -122,8 +123,8 @@
 // NewFollower returns a Follower with an empty table. Run starts it.
 func NewFollower(c FollowerConfig) *Follower {
 	f := &Follower{
-		config: c, start: c.Now(), wake: make(chan struct{}, 1), relayer: relayer.New(relayer.Config{Name: c.Name}),
-		retained: map[string]retainedRow{}, lastSuccess: c.Now(),
+		config: c, start: c.Now(), wake: make(chan struct{}, 1), wakeExpiry: make(chan struct{}, 1),
+		relayer: relayer.New(relayer.Config{Name: c.Name}), retainer: retainer.New(c.Retention, 0), retained: map[string]retainedRow{}, lastSuccess: c.Now(),
 	}
 	f.SetPause(c.Pause)
 	return f
@@ -132,6 +133,13 @@
 // SetPause changes the time between two reads.
 func (f *Follower) SetPause(pause time.Duration) { f.pause.Store(int64(pause)) }
 
+// SetRetention changes how long rows that lapse during an outage stay in use.
+func (f *Follower) SetRetention(c retainer.Config) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retainer = f.retainer.WithConfig(c)
+}
+
 // SetRelayInterval makes processes rely on one another's reads: the one that reads does so at this interval, and the
 // others read only when no read has been relayed to them for up to twice that time. With 0 each process reads by itself.
 func (f *Follower) SetRelayInterval(interval time.Duration) {
@@ -151,17 +159,21 @@
 	if c.From > f.version {
 		f.relayer = f.relayer.WithOwnRead()
 		f.mu.Unlock()
-		f.wakeRun()
+		notify(f.wake)
 		return
 	}
-	f.relayer = f.relayer.WithRelayed(peer, f.config.Now().Sub(f.start))
+	readAt := f.elapsed() - c.Age
+	f.relayer = f.relayer.WithRelayed(peer, readAt)
 	f.mu.Unlock()
-	f.apply(c.Rows, false)
+	f.apply(c.Rows, readAt, false)
 }
 
-func (f *Follower) wakeRun() {
+// elapsed returns the time since the start, which is the clock of relayer and retainer.
+func (f *Follower) elapsed() time.Duration { return f.config.Now().Sub(f.start) }
+
+func notify(wake chan struct{}) {
 	select {
-	case f.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
@@ -170,7 +182,7 @@
 func (f *Follower) awaitTurn(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		wait := f.relayer.ReadIn(f.config.Now().Sub(f.start))
+		wait := f.relayer.ReadIn(f.elapsed())
 		if wait == 0 || !f.hasSnapshot {
 			f.relayer = f.relayer.WithOwnRead()
 			f.mu.Unlock()
@@ -203,6 +215,66 @@
 
 // Run follows the table until ctx is cancelled.
 func (f *Follower) Run(ctx context.Context) error {
+	if err := looper.Run(ctx, f.follow, f.expire); err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
+// expire removes retained rows at the end of their retention.
+func (f *Follower) expire(ctx context.Context) error {
+	for {
+		var timeout <-chan time.Time
+		if next, ok := f.nextExpiry(); ok {
+			timeout = time.After(next)
+		}
+		select {
+		case <-timeout:
+			f.removeExpired()
+		case <-f.wakeExpiry:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// nextExpiry returns the time until the next retention ends, or false if no row is retained.
+func (f *Follower) nextExpiry() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var next time.Time
+	for _, retained := range f.retained {
+		if next.IsZero() || retained.until.Before(next) {
+			next = retained.until
+		}
+	}
+	return next.Sub(f.config.Now()), !next.IsZero()
+}
+
+func (f *Follower) removeExpired() {
+	f.mu.Lock()
+	changed := f.removeExpiredLocked()
+	table := f.tableLocked()
+	f.mu.Unlock()
+	if changed {
+		f.config.OnChange(table)
+	}
+}
+
+// removeExpiredLocked removes the rows whose retention has ended and reports whether there were any. The caller holds mu.
+func (f *Follower) removeExpiredLocked() bool {
+	now, changed := f.config.Now(), false
+	for key, retained := range f.retained {
+		if !now.Before(retained.until) {
+			changed = true
+			delete(f.retained, key)
+			f.config.Log.Info().Str("Table", f.config.Table).Str("Key", key).Msg("registrar: row removed after its retention time")
+		}
+	}
+	return changed
+}
+
+func (f *Follower) follow(ctx context.Context) error {
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		f.awaitTurn(ctx)
@@ -217,7 +289,6 @@
 				Msg("registrar: change history lost, reading the whole table again")
 			f.invalidateSnapshot()
 		default:
-			f.recordFailure(err)
 			sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 		}
@@ -231,36 +302,46 @@
 	after := f.version
 	needsSnapshot := !f.hasSnapshot
 	f.mu.Unlock()
+	sentAt := f.elapsed()
 	if needsSnapshot {
 		rows, err := f.config.Source.ReadTable(ctx, f.config.Table)
-		if err != nil {
-			return err
+		if err == nil {
+			err = f.replace(rows, sentAt)
 		}
-		return f.replace(rows)
+		return f.checkFailure(err, sentAt)
 	}
-	begin := f.config.Now()
 	rows, err := f.config.Source.ReadChanges(ctx, f.config.Table, after, wait)
 	if err != nil {
-		return err
+		return f.checkFailure(err, sentAt)
 	}
-	f.apply(rows, true)
-	f.relay(after, rows, f.config.Now().Sub(begin)-wait)
+	// The store holds the read open for no longer than wait, so the answer may be as old as the rest.
+	age := max(0, f.elapsed()-sentAt-wait)
+	f.apply(rows, sentAt, true)
+	f.relay(after, rows, age)
 	return nil
 }
 
+// checkFailure records the failure of the read sent at sentAt, unless the store has answered it, and returns err.
+func (f *Follower) checkFailure(err error, sentAt time.Duration) error {
+	if err != nil && !errors.Is(err, ErrHistoryLost) {
+		f.recordFailure(err, sentAt)
+	}
+	return err
+}
+
 // relay passes a read on to the other processes. A read that took much longer than it should is not passed on: this
-// process may have been suspended since the store returned it, and the others would take it for a recent one.
-func (f *Follower) relay(from int64, rows Rows, excess time.Duration) {
+// process may have been suspended since the store returned it.
+func (f *Follower) relay(from int64, rows Rows, age time.Duration) {
 	f.mu.Lock()
 	isRelaying := f.config.Relay != nil && f.relayer.Interval() > 0
-	c := Changes{From: from, Rows: Rows{Version: rows.Version, Rows: slices.Clone(rows.Rows)}}
+	c := Changes{From: from, Age: age, Rows: Rows{Version: rows.Version, Rows: slices.Clone(rows.Rows)}}
 	for i, row := range c.Rows.Rows {
 		if retained, ok := f.retained[row.Key]; ok && row.IsDeleted {
 			c.Rows.Rows[i].RetainedFor = retained.until.Sub(f.config.Now())
 		}
 	}
 	f.mu.Unlock()
-	if isRelaying && excess < outageThreshold {
+	if isRelaying && age < outageThreshold {
 		f.config.Relay(c)
 	}
 }
@@ -272,9 +353,10 @@
 	f.hasSnapshot = false
 }
 
-func (f *Follower) recordFailure(err error) {
+func (f *Follower) recordFailure(err error, sentAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.retainer = f.retainer.WithFailure(sentAt)
 	if f.failingSince.IsZero() {
 		f.failingSince = f.config.Now()
 	}
@@ -285,42 +367,37 @@
 	}
 }
 
-// recordSuccess records a successful read and reports whether it ended an outage. A read of changes may take as long as
-// Wait without an outage, so the limit is outageThreshold plus Wait. The result can be false even if inOutage was set.
-func (f *Follower) recordSuccess() (endedOutage bool) {
+// recordSuccess records that the read sent at sentAt was answered.
+func (f *Follower) recordSuccess(sentAt time.Duration) {
+	f.retainer = f.retainer.WithAnswer(sentAt, f.elapsed())
 	now := f.config.Now()
-	// Relayed reads may be up to two intervals apart.
-	endedOutage = now.Sub(f.lastSuccess) > outageThreshold+max(f.config.Wait, 2*f.relayer.Interval())
 	if f.inOutage {
 		f.config.Log.Info().Str("Table", f.config.Table).Int64("Version", f.version).
 			Dur("SinceAnswer", now.Sub(f.lastSuccess)).Msg("registrar: store regained")
 	}
 	f.inOutage, f.lastSuccess, f.failingSince = false, now, time.Time{}
-	return endedOutage
 }
 
 // errOlderSnapshot means that the copy was brought to a newer version while the store's snapshot was read.
 var errOlderSnapshot = errors.New("the snapshot is older than a copy that was received meanwhile; it is read again")
 
-// replace replaces the whole table with the store's.
-func (f *Follower) replace(rows Rows) error {
+// replace replaces the whole table with the store's, which was asked for it at sentAt.
+func (f *Follower) replace(rows Rows, sentAt time.Duration) error {
 	f.mu.Lock()
 	if rows.Version < f.version {
 		f.mu.Unlock()
 		return errOlderSnapshot
 	}
-	endedOutage := f.recordSuccess()
+	f.recordSuccess(sentAt)
 	f.hasSnapshot = true
 	next := make(map[string]Row, len(rows.Rows))
 	for _, row := range rows.Rows {
 		next[row.Key] = row
 		delete(f.retained, row.Key)
 	}
-	if f.config.RetainsAfterOutage && endedOutage {
-		for key, row := range f.rows {
-			if _, ok := next[key]; !ok {
-				f.retain(row)
-			}
+	for key, row := range f.rows {
+		if _, ok := next[key]; !ok {
+			f.retainLapsed(row)
 		}
 	}
 	f.version, f.rows = rows.Version, next
@@ -330,54 +407,54 @@
 	return nil
 }
 
-// retain starts the retention time of a row removed during an outage.
-func (f *Follower) retain(row Row) {
-	f.retained[row.Key] = retainedRow{row: row, until: f.config.Now().Add(lapsedRetention)}
-	f.config.Log.Info().Str("Table", f.config.Table).Str("Key", row.Key).Msg("registrar: row removed during an outage, retained temporarily")
+// retainLapsed keeps a removed row in use if it may have lapsed during an outage.
+func (f *Follower) retainLapsed(row Row) {
+	until, ok := f.retainer.RetainUntil()
+	left := until - f.elapsed()
+	if ok && left > 0 {
+		f.retain(row, left)
+	}
+}
+
+// retain keeps a removed row in use for a while.
+func (f *Follower) retain(row Row, left time.Duration) {
+	f.retained[row.Key] = retainedRow{row: row, until: f.config.Now().Add(left)}
+	notify(f.wakeExpiry)
+	f.config.Log.Info().Str("Table", f.config.Table).Str("Key", row.Key).Dur("For", left).
+		Msg("registrar: row removed during an outage, retained temporarily")
 }
 
-// apply applies changes and removes rows whose retention time has ended. The process that has read changes from the store
-// decides which of the removed rows are retained.
-func (f *Follower) apply(rows Rows, isOwnRead bool) {
+// apply applies changes that the store returned to a read sent at readAt, and removes rows whose retention time has ended.
+// The process that has read the changes itself decides which of the removed rows are retained.
+func (f *Follower) apply(rows Rows, readAt time.Duration, isOwnRead bool) {
 	f.mu.Lock()
-	endedOutage := f.recordSuccess()
-	now := f.config.Now()
-	next, isCloned, changed := f.rows, false, false
+	f.recordSuccess(readAt)
+	next, isCloned := f.rows, false
 	write := func() map[string]Row {
 		if !isCloned {
-			next, isCloned, changed = maps.Clone(next), true, true
+			next, isCloned = maps.Clone(next), true
 		}
 		return next
 	}
-	for _, row := range rows.Rows {
-		if row.Version <= f.version {
-			continue
-		}
-		if !row.IsDeleted {
-			write()[row.Key] = row
-			delete(f.retained, row.Key)
-			continue
-		}
-		removed, known := next[row.Key]
-		if !known {
-			continue
-		}
-		delete(write(), row.Key)
+	for key, row := range lastChanges(rows.Rows, f.version) {
+		removed, known := next[key]
 		switch {
-		case !f.config.RetainsAfterOutage:
-		case isOwnRead && endedOutage:
-			f.retain(removed)
-		case !isOwnRead && row.RetainedFor > 0:
-			f.retained[row.Key] = retainedRow{row: removed, until: now.Add(row.RetainedFor)}
-		}
-	}
-	for key, retained := range f.retained {
-		if !now.Before(retained.until) {
-			changed = true
+		case !row.IsDeleted:
+			write()[key] = row
 			delete(f.retained, key)
-			f.config.Log.Info().Str("Table", f.config.Table).Str("Key", key).Msg("registrar: row removed after its retention time")
+		case !known:
+			// It was added and removed since the last read, or is retained already.
+		case isOwnRead:
+			delete(write(), key)
+			f.retainLapsed(removed)
+		default:
+			delete(write(), key)
+			if row.RetainedFor > 0 {
+				f.retain(removed, row.RetainedFor)
+			}
 		}
 	}
+	changed := f.removeExpiredLocked() || isCloned
 	f.version, f.rows = max(rows.Version, f.version), next
 	table := f.tableLocked()
 	f.mu.Unlock()
@@ -386,6 +463,17 @@
 	}
 }
 
+// lastChanges returns the last change of each row after a version.
+func lastChanges(rows []Row, after int64) map[string]Row {
+	last := make(map[string]Row, len(rows))
+	for _, row := range rows {
+		if row.Version > after && row.Version >= last[row.Key].Version {
+			last[row.Key] = row
+		}
+	}
+	return last
+}
+
 // Merge replaces the table with the copy of a peer that was asked for it at askedAt, if the copy is newer, and reports
 // whether it did. The copy comes from a store that answered the peer, so rows that it lacks really are removed; those that
 // the peer retains stay in use for no longer than there, and only if they are in use here.
@@ -408,12 +496,13 @@
 		if isRetained && previous.until.Before(until) {
 			until = previous.until
 		}
-		if f.config.RetainsAfterOutage && (isLive || isRetained || f.version == 0) {
+		if isLive || isRetained || f.version == 0 {
 			row.IsDeleted, row.RetainedFor = false, 0
 			retained[row.Key] = retainedRow{row: row, until: until}
 		}
 	}
 	f.version, f.rows, f.retained = rows.Version, next, retained
+	notify(f.wakeExpiry)
 	table := f.tableLocked()
 	f.mu.Unlock()
 	f.config.OnChange(table)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"geraniumladder/internal/registrar"
+	"geraniumladder/pkg/retainer"
 )
 
 // fakeStore simulates a table in the store. Its change history can be truncated and its calls can fail.
@@ -103,10 +104,17 @@
 	stop func()
 }
 
+// retention is that of the platform.
+var retention = retainer.Config{RenewInterval: renewInterval, LapseIntervals: lapseIntervals, ReturnTime: 2 * time.Second}
+
 func startFollower(t *testing.T, s *fakeStore, keepsLapsed bool) runningFollower {
 	t.Helper()
+	config := retainer.Config{}
+	if keepsLapsed {
+		config = retention
+	}
 	f := registrar.NewFollower(registrar.FollowerConfig{
-		Table: "endpoints", Source: s, Pause: 200 * time.Millisecond, RetainsAfterOutage: keepsLapsed,
+		Table: "endpoints", Source: s, Pause: 200 * time.Millisecond, Retention: config,
 		OnChange: func(registrar.Table) {}, Now: time.Now, Log: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -225,7 +233,7 @@
 		time.Sleep(time.Second)
 		copying.stop()
 		gone := registrar.NewFollower(registrar.FollowerConfig{
-			Table: "endpoints", Source: s, RetainsAfterOutage: true, OnChange: func(registrar.Table) {}, Now: time.Now, Log: zerolog.Nop(),
+			Table: "endpoints", Source: s, Retention: retention, OnChange: func(registrar.Table) {}, Now: time.Now, Log: zerolog.Nop(),
 		})
 		assert.Assert(t, gone.Merge(registrar.Rows{Version: 2, Rows: []registrar.Row{{Key: "stays", Value: []byte("1"), Version: 2}}}, time.Now()))
 		s.update(func() { s.isUnavailable = true })
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -26,6 +26,7 @@
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/sharer"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/retainer"
 )
 
 // Platform is the interface of the platform to the processes.
@@ -47,6 +48,11 @@
 	// pollsPerLeaveTime is the number of reads of the endpoints' table within Tuning.LeaveTime. The table changes all the
 	// time, so it is polled at an interval instead of at each change.
 	pollsPerLeaveTime = 4
+	// lapseIntervals is the number of intervals without a renewal after which the platform removes a registration.
+	lapseIntervals = 3
+	// registrationReturnTime is the time after the end of an outage of the store within which the endpoints whose
+	// registrations have lapsed register again.
+	registrationReturnTime = 2 * time.Second
 	// demandInterval is the interval at which the demand is sent to every sidecar.
 	demandInterval = 600 * time.Millisecond
 	// changedDemandInterval is the interval at which demands that have changed are sent.
@@ -149,7 +155,7 @@
 	})
 	e.endpoints = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.EndpointsTable(), Source: c.Platform,
-		Pause: endpointsPollInterval(c.Tuning), RetainsAfterOutage: true,
+		Pause: endpointsPollInterval(c.Tuning), Retention: retention(c.Tuning),
 		OnChange: e.setEndpoints, Now: time.Now, Log: c.Log,
 		Name: c.VM, Relay: e.relay(c.Platform.EndpointsTable()),
 	})
@@ -173,6 +179,11 @@
 	return time.Duration(float64(t.LeaveTime) / pollsPerLeaveTime)
 }
 
+// retention returns how long registrations that lapse during an outage of the store stay in use.
+func retention(t Tuning) retainer.Config {
+	return retainer.Config{RenewInterval: t.RenewInterval, LapseIntervals: lapseIntervals, ReturnTime: registrationReturnTime}
+}
+
 // applyTuning applies changed settings.
 func (e *Entry) applyTuning(t Tuning) {
 	limitMemory(t)
@@ -180,6 +191,7 @@
 	e.sharer.SetSettings(t.Seeds, t.LimitAllowance)
 	e.forwarder.SetRetry(t.Retry)
 	e.endpoints.SetPause(endpointsPollInterval(t))
+	e.endpoints.SetRetention(retention(t))
 }
 
 func (e *Entry) setOperators(t registrar.Table) {
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -36,7 +36,8 @@
 			stamp := e.gossiper.NextStamp()
 			m := wire.TableChanges{
 				Boot: stamp.Boot, Sequence: stamp.Sequence, VM: e.config.VM, Table: table, From: part.From, Version: part.Rows.Version,
-				Rows: make([]wire.TableRow, 0, len(part.Rows.Rows)),
+				AgeMilliseconds: part.Age.Milliseconds(),
+				Rows:            make([]wire.TableRow, 0, len(part.Rows.Rows)),
 			}
 			for _, r := range part.Rows.Rows {
 				m.Rows = append(m.Rows, encodeRow(r))
@@ -47,7 +48,10 @@
 }
 
 func (e *Entry) handleTableChanges(m wire.TableChanges) {
-	c := registrar.Changes{From: m.From, Rows: registrar.Rows{Version: m.Version, Rows: make([]registrar.Row, 0, len(m.Rows))}}
+	c := registrar.Changes{
+		From: m.From, Age: time.Duration(m.AgeMilliseconds) * time.Millisecond,
+		Rows: registrar.Rows{Version: m.Version, Rows: make([]registrar.Row, 0, len(m.Rows))},
+	}
 	for _, r := range m.Rows {
 		c.Rows.Rows = append(c.Rows.Rows, decodeRow(r))
 	}
--- a/internal/resident/tuning.go
+++ b/internal/resident/tuning.go
@@ -28,6 +28,8 @@
 	LeaveTime time.Duration
 	// ApplyTime is how long a change of the configuration may take to be in force; 0 if it is unknown.
 	ApplyTime time.Duration
+	// RenewInterval is the interval at which endpoints renew their registrations.
+	RenewInterval time.Duration
 	// LoadWindow is the window over which the fleet's loads of models from the weight store are counted.
 	LoadWindow  time.Duration
 	MemoryBytes int64
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -730,6 +730,9 @@
 
 // TableChanges Sent by an entry to those of its failure domain, as one datagram, when it has read changes of a table, or that there are none.
 type TableChanges struct {
+	// AgeMilliseconds At least the time since the store returned the changes to the sender.
+	AgeMilliseconds int64 `json:"AgeMilliseconds,omitempty"`
+
 	// Boot Names one run of the sender's process.
 	Boot string `json:"Boot"`
 
