A read that the store has lost is repeated

Cause: only its timeout ended a read that the store had swallowed: 2 s for which it may be held open and 1.2 s for a slow answer, more than the 3 s within which an entry must be in touch. Each change answers all entries' reads at once, so that they are lost together and no entry can copy from another.

Ruled out: slow application, failed copies.

Change: a read that is not answered 0.4 s after its wait is repeated beside the first, without a wait, and then every 0.6 s; the first answer counts. The wait is at most half of the time in which an entry must be in touch, which the settings say. A slow store still has 1.2 s for each answer. Retained endpoints are dropped by the first answer to a read sent after the end of their time, never while nothing can be heard of them; each process decides on retention by its own reads, also when it relies on another's.

Tests: TestChangeIsInForceOnceInTouch and TestSoundEndpointsStayInUse (both over orders of events in virtual time, 12,000 by hand) fail without the repetition; the first also with the old times.

--- a/internal/registrar/fleet_test.go
+++ b/internal/registrar/fleet_test.go
@@ -31,6 +31,11 @@
 	// process must keep to that again.
 	leaveTime   = 2 * time.Second
 	contactTime = 3 * time.Second
+	// applyTime is how long a change of the configuration may take to be in force. holdTime is how long the store may hold
+	// a read of it open, and repeatTime the time after which a read is repeated.
+	applyTime  = 2 * time.Second
+	holdTime   = contactTime / 2
+	repeatTime = 400 * time.Millisecond
 	// quietTime is the time without trouble at the end of a schedule.
 	quietTime = 8 * time.Second
 )
@@ -59,9 +64,10 @@
 	lapsesLate bool
 	outages    []outage
 	leaves     []leave
-	// compactions are the times at which the store's history is lost.
-	compactions []time.Duration
-	length      time.Duration
+	// compactions are the times at which the store's history is lost, and changes those at which the configuration
+	// changes, unless the store is away.
+	compactions, changes []time.Duration
+	length               time.Duration
 }
 
 // drawTime draws a time up to most; times of a few milliseconds apart are as likely as others.
@@ -96,12 +102,18 @@
 		if rapid.IntRange(0, 3).Draw(t, "compacts") == 0 {
 			s.compactions = append(s.compactions, o.at+drawTime(t, o.length+time.Second, "compaction"))
 		}
+		s.changes = append(s.changes, o.at+drawTime(t, o.length+time.Second, "change"))
 		at += o.length + drawTime(t, 6*time.Second, "pause")
 	}
 	s.length = at + quietTime
 	return s
 }
 
+// String returns the events for the message of a failed test.
+func (s fleetSchedule) String() string {
+	return fmt.Sprintf("outages %+v\nleaves %+v\ncompactions %v\nchanges %v", s.outages, s.leaves, s.compactions, s.changes)
+}
+
 // fleetStore is a store whose registrations lapse, with outages for all or some of its callers.
 type fleetStore struct {
 	fakeStore
@@ -110,8 +122,18 @@
 	renewed  map[string]time.Time
 	// leftAt holds the times at which the removal of endpoints was confirmed.
 	leftAt map[string]time.Time
+	// changedAt holds the times at which changes of the configuration were confirmed, with their versions.
+	changedAt []change
+}
+
+type change struct {
+	at      time.Duration
+	version int64
 }
 
+// configKey is the key of the configuration.
+const configKey = "config"
+
 // trouble returns the outage that affects the follower now, or the endpoints if follower is -1.
 func (s *fleetStore) trouble(follower int) *outage {
 	now := time.Since(s.begin)
@@ -241,6 +263,18 @@
 	}
 }
 
+// change changes the configuration at a time, unless the store is away then.
+func (s *fleetStore) change(at time.Duration) {
+	time.Sleep(time.Until(s.begin.Add(at)))
+	if s.trouble(-1) != nil {
+		return
+	}
+	s.put(configKey, "changed")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changedAt = append(s.changedAt, change{at: time.Since(s.begin), version: s.rows[configKey].Version})
+}
+
 // fleet is a number of followers of one store that copy and relay their tables to one another.
 type fleet struct {
 	store     *fleetStore
@@ -248,7 +282,13 @@
 	goroutine sync.WaitGroup
 }
 
-func (f *fleet) start(ctx context.Context) {
+// endpointsTable and configurationTable are how the processes follow the two tables.
+var (
+	endpointsTable     = registrar.FollowerConfig{Pause: pollInterval, RepeatAfter: repeatTime, Retention: retention}
+	configurationTable = registrar.FollowerConfig{Wait: holdTime, RepeatAfter: repeatTime}
+)
+
+func (f *fleet) start(ctx context.Context, table registrar.FollowerConfig) {
 	run := func(work func()) {
 		f.goroutine.Add(1)
 		go func() {
@@ -259,20 +299,20 @@
 	s := f.store.schedule
 	for i := range s.followers {
 		name := strconv.Itoa(i)
-		follower := registrar.NewFollower(registrar.FollowerConfig{
-			Table: "endpoints", Source: fleetSource{fleetStore: f.store, follower: i}, Pause: pollInterval, Retention: retention,
-			OnChange: func(registrar.Table) {}, Now: time.Now, Log: zerolog.Nop(), Name: name,
-			Relay: func(c registrar.Changes) {
-				for j, other := range f.followers {
-					if j != i {
-						run(func() {
-							time.Sleep(transit)
-							other.HandleRelayed(name, c)
-						})
-					}
+		config := table
+		config.Table, config.Source = "table", fleetSource{fleetStore: f.store, follower: i}
+		config.OnChange, config.Now, config.Log, config.Name = func(registrar.Table) {}, time.Now, zerolog.Nop(), name
+		config.Relay = func(c registrar.Changes) {
+			for j, other := range f.followers {
+				if j != i {
+					run(func() {
+						time.Sleep(transit)
+						other.HandleRelayed(name, c)
+					})
 				}
-			},
-		})
+			}
+		}
+		follower := registrar.NewFollower(config)
 		follower.SetRelayInterval(s.relay)
 		f.followers = append(f.followers, follower)
 	}
@@ -283,10 +323,17 @@
 		})
 		run(func() { f.copyTables(ctx, i) })
 	}
-	for endpoint := range fleetEndpoints {
-		run(func() { f.store.renew(ctx, endpoint) })
+	if table.Retention == retention {
+		for endpoint := range fleetEndpoints {
+			run(func() { f.store.renew(ctx, endpoint) })
+		}
+		run(func() { f.store.expire(ctx) })
+	} else {
+		f.store.put(configKey, "first")
+		for _, at := range s.changes {
+			run(func() { f.store.change(at) })
+		}
 	}
-	run(func() { f.store.expire(ctx) })
 	for _, at := range s.compactions {
 		run(func() {
 			time.Sleep(time.Until(f.store.begin.Add(at)))
@@ -300,6 +347,7 @@
 	for ctx.Err() == nil {
 		time.Sleep(copyInterval)
 		follower := f.followers[own]
+		follower.DropCopied()
 		version := follower.Table().Version
 		if version > 0 && follower.FailingFor() < copyAfter {
 			continue
@@ -318,21 +366,20 @@
 	}
 }
 
-// observe plays the schedule and passes what each follower has to check, until check returns an error.
-func observe(t *testing.T, s fleetSchedule, check func(f *fleet, follower int, has func(key string) bool) error) error {
+// observe plays the schedule with followers of a table and passes the rows of each follower to check, until check returns
+// an error.
+func observe(t *testing.T, s fleetSchedule, table registrar.FollowerConfig, check func(f *fleet, follower int, rows map[string]registrar.Row) error) error {
 	var failure error
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := &fleet{store: &fleetStore{
 			fakeStore: *newFakeStore(), begin: time.Now(), schedule: &s, renewed: map[string]time.Time{}, leftAt: map[string]time.Time{},
 		}}
-		f.start(ctx)
+		f.start(ctx, table)
 		for time.Since(f.store.begin) < s.length && failure == nil {
 			time.Sleep(observeInterval)
 			for i, follower := range f.followers {
-				rows := follower.Table().Rows
-				has := func(key string) bool { _, ok := rows[key]; return ok }
-				failure = cmp.Or(failure, check(f, i, has))
+				failure = cmp.Or(failure, check(f, i, follower.Table().Rows))
 			}
 		}
 		cancel()
@@ -352,25 +399,26 @@
 			key      string
 		}
 		dropped := map[place]bool{}
-		err := observe(t, s, func(f *fleet, follower int, has func(key string) bool) error {
+		err := observe(t, s, endpointsTable, func(f *fleet, follower int, rows map[string]registrar.Row) error {
 			f.store.mu.Lock()
 			defer f.store.mu.Unlock()
 			now := time.Since(f.store.begin)
 			for key, leftAt := range f.store.leftAt {
 				p := place{follower: follower, key: key}
+				_, isUsed := rows[key]
 				switch {
-				case has(key) && dropped[p]:
+				case isUsed && dropped[p]:
 					return fmt.Errorf("at %v follower %d lists %s again, which left at %v", now, follower, key, leftAt.Sub(f.store.begin))
-				case has(key) && now > s.length-time.Second:
+				case isUsed && now > s.length-time.Second:
 					return fmt.Errorf("at %v follower %d still lists %s, which left at %v", now, follower, key, leftAt.Sub(f.store.begin))
-				case !has(key):
+				case !isUsed:
 					dropped[p] = true
 				}
 			}
 			return nil
 		})
 		if err != nil {
-			r.Fatalf("%v\noutages %+v\nleaves %+v\ncompactions %v", err, s.outages, s.leaves, s.compactions)
+			r.Fatalf("%v\n%v", err, s)
 		}
 	})
 }
@@ -381,20 +429,63 @@
 func TestRemovedRowIsUsedNoLongerThanAllowed(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		s := drawSchedule(r)
-		err := observe(t, s, func(f *fleet, follower int, has func(key string) bool) error {
+		err := observe(t, s, endpointsTable, func(f *fleet, follower int, rows map[string]registrar.Row) error {
 			f.store.mu.Lock()
 			defer f.store.mu.Unlock()
 			now := time.Since(f.store.begin)
 			for key, at := range f.store.leftAt {
 				leftAt := at.Sub(f.store.begin)
-				if has(key) && now > leftAt+leaveTime && f.store.wasCalm(-1, leftAt) && f.store.wasCalm(follower, now) {
+				if _, isUsed := rows[key]; isUsed && now > leftAt+leaveTime && f.store.wasCalm(-1, leftAt) && f.store.wasCalm(follower, now) {
 					return fmt.Errorf("at %v follower %d uses %s, which left at %v", now, follower, key, leftAt)
 				}
 			}
 			return nil
 		})
 		if err != nil {
-			r.Fatalf("%v\noutages %+v\nleaves %+v\ncompactions %v", err, s.outages, s.leaves, s.compactions)
+			r.Fatalf("%v\n%v", err, s)
+		}
+	})
+}
+
+// TestChangeIsInForceOnceInTouch guards against an old configuration, with a key that was taken away, that stays in force
+// because the store has lost the read that would bring the new one: at an outage's end, all reads can be lost at once. It
+// plays many orders of outages, changes and reads.
+func TestChangeIsInForceOnceInTouch(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := drawSchedule(r)
+		err := observe(t, s, configurationTable, func(f *fleet, follower int, rows map[string]registrar.Row) error {
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			now := time.Since(f.store.begin)
+			for _, c := range f.store.changedAt {
+				if now > c.at+applyTime && rows[configKey].Version < c.version && f.store.wasCalm(follower, now) {
+					return fmt.Errorf("at %v follower %d has version %d of the configuration, and %d was confirmed at %v", now, follower, rows[configKey].Version, c.version, c.at)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			r.Fatalf("%v\n%v", err, s)
+		}
+	})
+}
+
+// TestSoundEndpointsStayInUse guards against dropping endpoints that run, because their registrations lapsed while the
+// store was away and the process did not notice soon enough that it is back.
+func TestSoundEndpointsStayInUse(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := drawSchedule(r)
+		// In a series of outages, one that falls between two reads can keep an endpoint from coming back unseen.
+		s.leaves, s.outages = nil, s.outages[:1]
+		s.outages[0].follower = -1
+		err := observe(t, s, endpointsTable, func(f *fleet, follower int, rows map[string]registrar.Row) error {
+			if now := time.Since(f.store.begin); now > 3*time.Second && len(rows) < fleetEndpoints {
+				return fmt.Errorf("at %v follower %d has %d of %d endpoints", now, follower, len(rows), fleetEndpoints)
+			}
+			return nil
+		})
+		if err != nil {
+			r.Fatalf("%v\n%v", err, s)
 		}
 	})
 }
--- a/internal/registrar/follower.go
+++ b/internal/registrar/follower.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"geraniumladder/internal/looper"
 	"geraniumladder/pkg/relayer"
 	"geraniumladder/pkg/retainer"
 )
@@ -26,8 +25,8 @@
 	Version int64
 	// IsDeleted is set when the row was removed.
 	IsDeleted bool
-	// RetainedFor is set in rows that another process passes on: the time for which that process goes on using the
-	// removed row. Value and Version are then those of the row before its removal.
+	// RetainedFor is set in the removed rows of a peer's copy: the time for which the peer goes on using the row. Value and
+	// Version are then those of the row before its removal.
 	RetainedFor time.Duration
 }
 
@@ -55,14 +54,21 @@
 	// outageThreshold is the time without an answer after which the store is logged as lost. It is several times the
 	// duration of a slow read.
 	outageThreshold = 1200 * time.Millisecond
+	// maxRepeatDelay bounds the delay between two repetitions of a read that is not answered.
+	maxRepeatDelay = 600 * time.Millisecond
 )
 
 // FollowerConfig configures a Follower.
 type FollowerConfig struct {
 	Table  string
 	Source Source
-	// Wait is how long the store may hold a read of changes open (long polling); with 0, reads return at once.
+	// Wait is how long the store may hold a read of changes open (long polling); with 0, reads return at once. SetWait
+	// changes it.
 	Wait time.Duration
+	// RepeatAfter is the time beyond Wait after which a read that is not answered is repeated beside the first, which the
+	// store may have lost. With 0, it is not repeated before it fails. Wait and RepeatAfter together bound how long a lost
+	// read hides the store's return.
+	RepeatAfter time.Duration
 	// Pause is the time between two reads, which bounds the number of calls for a table that changes constantly.
 	// SetPause changes it.
 	Pause time.Duration
@@ -88,19 +94,22 @@
 	Rows map[string]Row
 }
 
-// retainedRow is a removed row that stays in use for a while.
+// retainedRow is a removed row that stays in use for a while. It is dropped by the first answer to a read sent after until.
 type retainedRow struct {
-	row   Row
-	until time.Time
+	row Row
+	// until is a time since the follower's start.
+	until time.Duration
+	// isCopied means that the row was retained in a peer's copy. While reads fail, it is dropped at until.
+	isCopied bool
 }
 
 // Follower keeps a local copy of one table up to date. It is safe for use by several goroutines.
 type Follower struct {
-	config FollowerConfig
-	pause  atomic.Int64
-	start  time.Time
-	// wake ends the wait for relayed reads, and wakeExpiry that for the end of a retention.
-	wake, wakeExpiry chan struct{}
+	config      FollowerConfig
+	wait, pause atomic.Int64
+	start       time.Time
+	// wake ends the wait for relayed reads.
+	wake chan struct{}
 
 	mu       sync.Mutex
 	relayer  relayer.Relayer
@@ -123,13 +132,17 @@
 // NewFollower returns a Follower with an empty table. Run starts it.
 func NewFollower(c FollowerConfig) *Follower {
 	f := &Follower{
-		config: c, start: c.Now(), wake: make(chan struct{}, 1), wakeExpiry: make(chan struct{}, 1),
+		config: c, start: c.Now(), wake: make(chan struct{}, 1),
 		relayer: relayer.New(relayer.Config{Name: c.Name}), retainer: retainer.New(c.Retention, 0), retained: map[string]retainedRow{}, lastSuccess: c.Now(),
 	}
+	f.SetWait(c.Wait)
 	f.SetPause(c.Pause)
 	return f
 }
 
+// SetWait changes how long the store may hold a read of changes open.
+func (f *Follower) SetWait(wait time.Duration) { f.wait.Store(int64(wait)) }
+
 // SetPause changes the time between two reads.
 func (f *Follower) SetPause(pause time.Duration) { f.pause.Store(int64(pause)) }
 
@@ -159,21 +172,21 @@
 	if c.From > f.version {
 		f.relayer = f.relayer.WithOwnRead()
 		f.mu.Unlock()
-		notify(f.wake)
+		f.wakeRun()
 		return
 	}
 	readAt := f.elapsed() - c.Age
 	f.relayer = f.relayer.WithRelayed(peer, readAt)
 	f.mu.Unlock()
-	f.apply(c.Rows, readAt, false)
+	f.apply(c.Rows, readAt)
 }
 
 // elapsed returns the time since the start, which is the clock of relayer and retainer.
 func (f *Follower) elapsed() time.Duration { return f.config.Now().Sub(f.start) }
 
-func notify(wake chan struct{}) {
+func (f *Follower) wakeRun() {
 	select {
-	case wake <- struct{}{}:
+	case f.wake <- struct{}{}:
 	default:
 	}
 }
@@ -204,10 +217,11 @@
 	f.mu.Lock()
 	interval := f.relayer.Interval()
 	f.mu.Unlock()
+	wait = time.Duration(f.wait.Load())
 	switch {
 	case interval == 0:
-		return f.config.Wait, time.Duration(f.pause.Load())
-	case f.config.Wait > 0:
+		return wait, time.Duration(f.pause.Load())
+	case wait > 0:
 		return interval, 0
 	}
 	return 0, interval
@@ -215,66 +229,6 @@
 
 // Run follows the table until ctx is cancelled.
 func (f *Follower) Run(ctx context.Context) error {
-	if err := looper.Run(ctx, f.follow, f.expire); err != nil {
-		return err
-	}
-	return ctx.Err()
-}
-
-// expire removes retained rows at the end of their retention.
-func (f *Follower) expire(ctx context.Context) error {
-	for {
-		var timeout <-chan time.Time
-		if next, ok := f.nextExpiry(); ok {
-			timeout = time.After(next)
-		}
-		select {
-		case <-timeout:
-			f.removeExpired()
-		case <-f.wakeExpiry:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// nextExpiry returns the time until the next retention ends, or false if no row is retained.
-func (f *Follower) nextExpiry() (time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var next time.Time
-	for _, retained := range f.retained {
-		if next.IsZero() || retained.until.Before(next) {
-			next = retained.until
-		}
-	}
-	return next.Sub(f.config.Now()), !next.IsZero()
-}
-
-func (f *Follower) removeExpired() {
-	f.mu.Lock()
-	changed := f.removeExpiredLocked()
-	table := f.tableLocked()
-	f.mu.Unlock()
-	if changed {
-		f.config.OnChange(table)
-	}
-}
-
-// removeExpiredLocked removes the rows whose retention has ended and reports whether there were any. The caller holds mu.
-func (f *Follower) removeExpiredLocked() bool {
-	now, changed := f.config.Now(), false
-	for key, retained := range f.retained {
-		if !now.Before(retained.until) {
-			changed = true
-			delete(f.retained, key)
-			f.config.Log.Info().Str("Table", f.config.Table).Str("Key", key).Msg("registrar: row removed after its retention time")
-		}
-	}
-	return changed
-}
-
-func (f *Follower) follow(ctx context.Context) error {
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		f.awaitTurn(ctx)
@@ -302,47 +256,102 @@
 	after := f.version
 	needsSnapshot := !f.hasSnapshot
 	f.mu.Unlock()
-	sentAt := f.elapsed()
 	if needsSnapshot {
-		rows, err := f.config.Source.ReadTable(ctx, f.config.Table)
-		if err == nil {
-			err = f.replace(rows, sentAt)
+		a := f.read(ctx, 0, func(ctx context.Context, _ time.Duration) (Rows, error) {
+			return f.config.Source.ReadTable(ctx, f.config.Table)
+		})
+		if a.err != nil {
+			return a.err
 		}
-		return f.checkFailure(err, sentAt)
-	}
-	rows, err := f.config.Source.ReadChanges(ctx, f.config.Table, after, wait)
-	if err != nil {
-		return f.checkFailure(err, sentAt)
-	}
-	// The store holds the read open for no longer than wait, so the answer may be as old as the rest.
-	age := max(0, f.elapsed()-sentAt-wait)
-	f.apply(rows, sentAt, true)
-	f.relay(after, rows, age)
+		return f.replace(a.rows, a.sentAt)
+	}
+	a := f.read(ctx, wait, func(ctx context.Context, wait time.Duration) (Rows, error) {
+		return f.config.Source.ReadChanges(ctx, f.config.Table, after, wait)
+	})
+	if a.err != nil {
+		return a.err
+	}
+	// The store holds the read open for no longer than its wait, so the answer may be as old as the rest.
+	age := max(0, f.elapsed()-a.sentAt-a.wait)
+	f.apply(a.rows, a.sentAt)
+	f.relay(after, a.rows, age)
 	return nil
 }
 
-// checkFailure records the failure of the read sent at sentAt, unless the store has answered it, and returns err.
-func (f *Follower) checkFailure(err error, sentAt time.Duration) error {
-	if err != nil && !errors.Is(err, ErrHistoryLost) {
-		f.recordFailure(err, sentAt)
+// answer is the result of one read.
+type answer struct {
+	rows Rows
+	err  error
+	// sentAt is the time at which the read was sent, and wait how long the store was allowed to hold it open.
+	sentAt, wait time.Duration
+}
+
+// read reads until the store answers or refuses. It repeats a read that is not answered in time, without a wait and
+// beside the earlier ones, and returns the first answer. The reads sent before that one have failed.
+func (f *Follower) read(ctx context.Context, wait time.Duration, call func(ctx context.Context, wait time.Duration) (Rows, error)) answer {
+	ctx, cancel := context.WithCancel(ctx)
+	answers := make(chan answer)
+	// pending are the times at which the reads without a result were sent, in order.
+	var pending []time.Duration
+	defer func() {
+		cancel()
+		for range pending {
+			<-answers
+		}
+	}()
+	send := func(wait time.Duration) {
+		sentAt := f.elapsed()
+		pending = append(pending, sentAt)
+		go func() {
+			rows, err := call(ctx, wait)
+			answers <- answer{rows: rows, err: err, sentAt: sentAt, wait: wait}
+		}()
+	}
+	send(wait)
+	delay := f.config.RepeatAfter
+	var repeat <-chan time.Time
+	if delay > 0 {
+		repeat = time.After(wait + delay)
+	}
+	for {
+		select {
+		case a := <-answers:
+			pending = slices.DeleteFunc(pending, func(sentAt time.Duration) bool { return sentAt == a.sentAt })
+			switch {
+			case a.err == nil || errors.Is(a.err, ErrHistoryLost):
+				for _, sentAt := range pending {
+					if sentAt < a.sentAt {
+						f.recordFailure(errUnanswered, sentAt)
+					}
+				}
+				return a
+			case len(pending) == 0 || !errors.Is(a.err, context.DeadlineExceeded):
+				f.recordFailure(a.err, a.sentAt)
+				return a
+			}
+			f.recordFailure(a.err, a.sentAt)
+		case <-repeat:
+			f.recordDelay()
+			send(0)
+			delay = min(2*delay, maxRepeatDelay)
+			repeat = time.After(delay)
+		case <-ctx.Done():
+			return answer{err: ctx.Err()}
+		}
 	}
-	return err
 }
 
+// errUnanswered means that the store has answered a later read and not this one.
+var errUnanswered = errors.New("the read is not answered; it was repeated")
+
 // relay passes a read on to the other processes. A read that took much longer than it should is not passed on: this
 // process may have been suspended since the store returned it.
 func (f *Follower) relay(from int64, rows Rows, age time.Duration) {
 	f.mu.Lock()
 	isRelaying := f.config.Relay != nil && f.relayer.Interval() > 0
-	c := Changes{From: from, Age: age, Rows: Rows{Version: rows.Version, Rows: slices.Clone(rows.Rows)}}
-	for i, row := range c.Rows.Rows {
-		if retained, ok := f.retained[row.Key]; ok && row.IsDeleted {
-			c.Rows.Rows[i].RetainedFor = retained.until.Sub(f.config.Now())
-		}
-	}
 	f.mu.Unlock()
 	if isRelaying && age < outageThreshold {
-		f.config.Relay(c)
+		f.config.Relay(Changes{From: from, Age: age, Rows: rows})
 	}
 }
 
@@ -353,10 +362,23 @@
 	f.hasSnapshot = false
 }
 
+// recordFailure records that the store has refused the read sent at sentAt, or has not answered it.
 func (f *Follower) recordFailure(err error, sentAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.retainer = f.retainer.WithFailure(sentAt)
+	f.recordFailingLocked(err)
+}
+
+// recordDelay records that the answer to a read stays away. It may still come.
+func (f *Follower) recordDelay() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recordFailingLocked(errUnanswered)
+}
+
+// recordFailingLocked notes since when reads fail. The caller holds mu.
+func (f *Follower) recordFailingLocked(err error) {
 	if f.failingSince.IsZero() {
 		f.failingSince = f.config.Now()
 	}
@@ -411,22 +433,34 @@
 func (f *Follower) retainLapsed(row Row) {
 	until, ok := f.retainer.RetainUntil()
 	left := until - f.elapsed()
-	if ok && left > 0 {
-		f.retain(row, left)
+	if !ok || left <= 0 {
+		return
 	}
-}
-
-// retain keeps a removed row in use for a while.
-func (f *Follower) retain(row Row, left time.Duration) {
-	f.retained[row.Key] = retainedRow{row: row, until: f.config.Now().Add(left)}
-	notify(f.wakeExpiry)
+	f.retained[row.Key] = retainedRow{row: row, until: until}
 	f.config.Log.Info().Str("Table", f.config.Table).Str("Key", row.Key).Dur("For", left).
 		Msg("registrar: row removed during an outage, retained temporarily")
 }
 
-// apply applies changes that the store returned to a read sent at readAt, and removes rows whose retention time has ended.
-// The process that has read the changes itself decides which of the removed rows are retained.
-func (f *Follower) apply(rows Rows, readAt time.Duration, isOwnRead bool) {
+// dropExpired drops the retained rows whose time ended before a read that was answered, and reports whether there were
+// any. Their time is longer if the store has been away again meanwhile, so that they could not come back.
+func (f *Follower) dropExpired(readAt time.Duration) bool {
+	longer, isLonger := f.retainer.RetainUntil()
+	changed := false
+	for key, retained := range f.retained {
+		until := retained.until
+		if isLonger && !retained.isCopied {
+			until = max(until, longer)
+		}
+		if readAt >= until {
+			f.dropRetained(key)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// apply applies changes that the store returned to a read sent at readAt, and drops rows whose retention time has ended.
+func (f *Follower) apply(rows Rows, readAt time.Duration) {
 	f.mu.Lock()
 	f.recordSuccess(readAt)
 	next, isCloned := f.rows, false
@@ -444,17 +478,12 @@
 			delete(f.retained, key)
 		case !known:
 			// It was added and removed since the last read, or is retained already.
-		case isOwnRead:
-			delete(write(), key)
-			f.retainLapsed(removed)
 		default:
 			delete(write(), key)
-			if row.RetainedFor > 0 {
-				f.retain(removed, row.RetainedFor)
-			}
+			f.retainLapsed(removed)
 		}
 	}
-	changed := f.removeExpiredLocked() || isCloned
+	changed := f.dropExpired(readAt) || isCloned
 	f.version, f.rows = max(rows.Version, f.version), next
 	table := f.tableLocked()
 	f.mu.Unlock()
@@ -490,25 +519,47 @@
 			next[row.Key] = row
 			continue
 		}
-		until := askedAt.Add(row.RetainedFor)
+		until := askedAt.Sub(f.start) + row.RetainedFor
 		_, isLive := f.rows[row.Key]
 		previous, isRetained := f.retained[row.Key]
-		if isRetained && previous.until.Before(until) {
-			until = previous.until
+		if isRetained {
+			until = min(until, previous.until)
 		}
 		if isLive || isRetained || f.version == 0 {
 			row.IsDeleted, row.RetainedFor = false, 0
-			retained[row.Key] = retainedRow{row: row, until: until}
+			retained[row.Key] = retainedRow{row: row, until: until, isCopied: true}
 		}
 	}
 	f.version, f.rows, f.retained = rows.Version, next, retained
-	notify(f.wakeExpiry)
 	table := f.tableLocked()
 	f.mu.Unlock()
 	f.config.OnChange(table)
 	return true
 }
 
+// DropCopied drops the rows that a peer's copy retained and whose time has ended, if no read is answered that would tell.
+func (f *Follower) DropCopied() {
+	f.mu.Lock()
+	changed := false
+	for key, retained := range f.retained {
+		if !f.failingSince.IsZero() && retained.isCopied && f.elapsed() >= retained.until {
+			f.dropRetained(key)
+			changed = true
+		}
+	}
+	table := f.tableLocked()
+	f.mu.Unlock()
+	if changed {
+		f.config.OnChange(table)
+	}
+}
+
+// dropRetained ends the use of a retained row.
+func (f *Follower) dropRetained(key string) {
+	delete(f.retained, key)
+	f.config.Log.Info().Str("Table", f.config.Table).Str("Key", key).Msg("registrar: row removed after its retention time")
+}
+
 // Copy returns the content for a peer, see Merge. Retained rows are marked as deleted.
 func (f *Follower) Copy() Rows {
 	f.mu.Lock()
@@ -516,7 +567,7 @@
 	rows := Rows{Version: f.version, Rows: slices.Collect(maps.Values(f.rows))}
 	for _, retained := range f.retained {
 		row := retained.row
-		row.IsDeleted, row.RetainedFor = true, max(0, retained.until.Sub(f.config.Now()))
+		row.IsDeleted, row.RetainedFor = true, max(0, retained.until-f.elapsed())
 		rows.Rows = append(rows.Rows, row)
 	}
 	return rows
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -42,17 +42,24 @@
 }
 
 const (
-	// operatorsPollTimeout is how long the store may hold a read of the operators' table open. Changes arrive at once
-	// that way, and the time is short enough to detect a connection that has become silent.
-	operatorsPollTimeout = 2 * time.Second
+	// maxOperatorsWait is the longest time for which the store may hold a read of the operators' table open, and
+	// operatorsWaitFraction the longest fraction of Tuning.ContactTime. Changes arrive at once that way. A read that the
+	// store has lost hides changes for that time and readRepeatTime.
+	maxOperatorsWait      = 2 * time.Second
+	operatorsWaitFraction = 0.5
+	// readRepeatTime is the time after which a read of a table that is not answered is repeated. It is longer than an
+	// answer of a slow store.
+	readRepeatTime = 400 * time.Millisecond
 	// pollsPerLeaveTime is the number of reads of the endpoints' table within Tuning.LeaveTime. The table changes all the
 	// time, so it is polled at an interval instead of at each change.
 	pollsPerLeaveTime = 4
 	// lapseIntervals is the number of intervals without a renewal after which the platform removes a registration.
 	lapseIntervals = 3
-	// registrationReturnTime is the time after the end of an outage of the store within which the endpoints whose
-	// registrations have lapsed register again.
-	registrationReturnTime = 2 * time.Second
+	// maxRegistrationReturn is the longest time, and registrationReturnFraction the longest fraction of
+	// Tuning.ContactTime, for which lapsed registrations stay in use after the last time at which the store is known to
+	// have been away. Endpoints register again within about two seconds of its return.
+	maxRegistrationReturn      = 2 * time.Second
+	registrationReturnFraction = 2.0 / 3
 	// demandInterval is the interval at which the demand is sent to every sidecar.
 	demandInterval = 600 * time.Millisecond
 	// changedDemandInterval is the interval at which demands that have changed are sent.
@@ -149,13 +156,13 @@
 		},
 	})
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
-		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: operatorsPollTimeout,
+		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: operatorsWait(c.Tuning), RepeatAfter: readRepeatTime,
 		OnChange: e.setOperators, Now: time.Now, Log: c.Log,
 		Name: c.VM, Relay: e.relay(c.Platform.OperatorsTable()),
 	})
 	e.endpoints = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.EndpointsTable(), Source: c.Platform,
-		Pause: endpointsPollInterval(c.Tuning), Retention: retention(c.Tuning),
+		Pause: endpointsPollInterval(c.Tuning), RepeatAfter: readRepeatTime, Retention: retention(c.Tuning),
 		OnChange: e.setEndpoints, Now: time.Now, Log: c.Log,
 		Name: c.VM, Relay: e.relay(c.Platform.EndpointsTable()),
 	})
@@ -179,9 +186,23 @@
 	return time.Duration(float64(t.LeaveTime) / pollsPerLeaveTime)
 }
 
+// operatorsWait returns how long the store may hold a read of the operators' table open.
+func operatorsWait(t Tuning) time.Duration {
+	return atMost(maxOperatorsWait, operatorsWaitFraction, t.ContactTime)
+}
+
+// atMost returns d, or the fraction of limit if that is shorter. A limit of 0 is unknown.
+func atMost(d time.Duration, fraction float64, limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return d
+	}
+	return min(d, time.Duration(fraction*float64(limit)))
+}
+
 // retention returns how long registrations that lapse during an outage of the store stay in use.
 func retention(t Tuning) retainer.Config {
-	return retainer.Config{RenewInterval: t.RenewInterval, LapseIntervals: lapseIntervals, ReturnTime: registrationReturnTime}
+	returnTime := atMost(maxRegistrationReturn, registrationReturnFraction, t.ContactTime)
+	return retainer.Config{RenewInterval: t.RenewInterval, LapseIntervals: lapseIntervals, ReturnTime: returnTime}
 }
 
 // applyTuning applies changed settings.
@@ -190,6 +211,7 @@
 	e.tuning.Store(&t)
 	e.sharer.SetSettings(t.Seeds, t.LimitAllowance)
 	e.forwarder.SetRetry(t.Retry)
+	e.operators.SetWait(operatorsWait(t))
 	e.endpoints.SetPause(endpointsPollInterval(t))
 	e.endpoints.SetRetention(retention(t))
 }
@@ -287,6 +309,7 @@
 // copyTables copies newer tables from peers while the store doesn't respond to this entry.
 func (e *Entry) copyTables(ctx context.Context) {
 	for _, f := range []*registrar.Follower{e.operators, e.endpoints} {
+		f.DropCopied()
 		table := f.Table()
 		if table.Version > 0 && f.FailingFor() < storeFailureThreshold {
 			continue
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -22,7 +22,7 @@
 	entries := 1 + len(e.sharer.DomainPeers())
 	tuning := e.tuning.Load()
 	e.endpoints.SetRelayInterval(relayer.SharedInterval(entries, endpointsPollInterval(*tuning), endpointsPollInterval(*tuning)))
-	e.operators.SetRelayInterval(relayer.SharedInterval(entries, operatorsPollTimeout, tuning.ApplyTime/operatorsReadsPerApplyTime))
+	e.operators.SetRelayInterval(relayer.SharedInterval(entries, operatorsWait(*tuning), tuning.ApplyTime/operatorsReadsPerApplyTime))
 }
 
 // relay returns the function that passes changes of the table on to the entries of this failure domain.
--- a/internal/resident/tuning.go
+++ b/internal/resident/tuning.go
@@ -28,6 +28,9 @@
 	LeaveTime time.Duration
 	// ApplyTime is how long a change of the configuration may take to be in force; 0 if it is unknown.
 	ApplyTime time.Duration
+	// ContactTime is how long after the end of a disturbance, such as an outage of the store, an entry may act on what it
+	// knew before; 0 if it is unknown.
+	ContactTime time.Duration
 	// RenewInterval is the interval at which endpoints renew their registrations.
 	RenewInterval time.Duration
 	// LoadWindow is the window over which the fleet's loads of models from the weight store are counted.
