Idle connections on which bytes arrive are closed

They were looked at only when a request was about to use them.

The periodic clean-up of the pool now closes idle connections that have unread bytes.

TestBytesOnIdleConnectionsAreNotKept failed before: the endpoint could still send after 10 s of clean-ups.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -185,7 +185,8 @@
 	return found
 }
 
-// Prune closes expired idle connections, and all idle connections to addresses for which keep returns false.
+// Prune closes expired idle connections, those on which bytes have arrived that belong to no request and would fill the
+// memory of the socket, and all idle connections to addresses for which keep returns false.
 func (p *Pool) Prune(keep func(address string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -193,7 +194,7 @@
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if keep(address) && now.Before(c.reusableUntil) {
+			if keep(address) && now.Before(c.reusableUntil) && c.isReusable() {
 				kept = append(kept, c)
 			} else {
 				c.Close()
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -243,6 +243,44 @@
 	assert.Equal(t, exchange(t, p, address, time.Minute), "2")
 }
 
+// TestBytesOnIdleConnectionsAreNotKept guards against idle connections whose unread bytes fill the memory of their sockets:
+// an endpoint may go on sending after its answer.
+func TestBytesOnIdleConnectionsAreNotKept(t *testing.T) {
+	now := &clock{now: time.Unix(0, 0)}
+	p := newPool(now)
+	closed := make(chan error, 1)
+	address := startServer(t, func(c net.Conn, n int) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		reply(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		for {
+			if _, err := io.WriteString(c, strings.Repeat("a", 1<<10)); err != nil {
+				closed <- err
+				return
+			}
+		}
+	})
+	c, err := p.Get(t.Context(), address, time.Minute, "id")
+	assert.NilError(t, err)
+	assert.NilError(t, c.Send(request))
+	response, err := c.ReceiveResponse(http.MethodPost)
+	assert.NilError(t, err)
+	one := make([]byte, 1)
+	_, err = io.ReadFull(response.Body, one)
+	assert.NilError(t, err)
+	c.Release(response)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		p.Prune(func(string) bool { return true })
+		select {
+		case <-closed:
+			return poll.Success()
+		default:
+			return poll.Continue("the endpoint can still send")
+		}
+	}, poll.WithTimeout(10*time.Second))
+}
+
 // TestUnframedResponseEndsConnection guards against reusing a connection whose response ends only when the connection
 // is closed: the end of the connection would be taken for the end of another response.
 func TestUnframedResponseEndsConnection(t *testing.T) {
