A planned stop refuses late requests and answers open ones at its end

Reported by other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated.

Both can happen here. A request whose head came early and whose body was complete late in the stop was sent to an endpoint and cut with it (the HTTP server itself drops requests whose head comes after it has begun to shut down, without passing them on). And whatever was open at the end of the grace, running or waiting for an adapter, ended with its connection.

From 0.25 s before the end of the notice to the load balancer an entry refuses, as not run, a request whose deadline lies beyond the stop; 0.25 s before the end of its time it ends the open ones: 503 for those that have not run, 504 for those that may have. Streams that have begun still break off, which their callers can tell.

--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -248,7 +248,7 @@
 func TestBytesOnIdleConnectionsAreNotKept(t *testing.T) {
 	now := &clock{now: time.Unix(0, 0)}
 	p := newPool(now)
-	closed := make(chan error, 1)
+	var isClosed atomic.Bool
 	address := startServer(t, func(c net.Conn, n int) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
@@ -256,7 +256,7 @@
 		reply(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
 		for {
 			if _, err := io.WriteString(c, strings.Repeat("a", 1<<10)); err != nil {
-				closed <- err
+				isClosed.Store(true)
 				return
 			}
 		}
@@ -272,12 +272,10 @@
 	c.Release(response)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		p.Prune(func(string) bool { return true })
-		select {
-		case <-closed:
+		if isClosed.Load() {
 			return poll.Success()
-		default:
-			return poll.Continue("the endpoint can still send")
 		}
+		return poll.Continue("the endpoint can still send")
 	}, poll.WithTimeout(10*time.Second))
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -105,7 +105,12 @@
 	start         time.Time
 	retry         atomic.Pointer[retrier.Config]
 	leaving       atomic.Bool
-	open          atomic.Int64
+	// stopAt is the time at which open requests end, in Unix nanoseconds; 0 while the process isn't stopping. ended is
+	// cancelled then.
+	stopAt atomic.Int64
+	ended  context.Context
+	end    context.CancelFunc
+	open   atomic.Int64
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retryBudget
@@ -133,6 +138,7 @@
 		quarantine: newQuarantine(start, c.Now, c.Log), throttle: newThrottle(c.VM, start, c.Now, c.Log),
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
+	f.ended, f.end = context.WithCancel(context.Background())
 	f.SetRetry(c.Retry)
 	f.SetAnswerMemory(c.AnswerMemory)
 	return f
@@ -186,6 +192,20 @@
 // Leave adds "Connection: close" to further responses, so that callers connect to other entries.
 func (f *Forwarder) Leave() { f.leaving.Store(true) }
 
+// Stop refuses requests from now on that may last beyond a time, as not run.
+func (f *Forwarder) Stop(at time.Time) { f.stopAt.Store(at.UnixNano()) }
+
+// End ends all open requests, each with an answer unless its response has begun.
+func (f *Forwarder) End() { f.end() }
+
+// refuseStopping returns a refusal if the process stops before the deadline.
+func (f *Forwarder) refuseStopping(deadline time.Time) *Refusal {
+	if at := f.stopAt.Load(); at != 0 && deadline.UnixNano() > at {
+		return refuseStopping()
+	}
+	return nil
+}
+
 // OpenRequests returns the number of open requests.
 func (f *Forwarder) OpenRequests() int64 { return f.open.Load() }
 
@@ -298,7 +318,10 @@
 	x.deadline = x.arrivedAt.Add(timeout)
 	x.service = x.route.ChooseService(x.call.ID)
 	x.lastEvent = x.call.LastEvent
-	return x.readBody()
+	if refusal := x.readBody(); refusal != nil {
+		return refusal
+	}
+	return x.f.refuseStopping(x.deadline)
 }
 
 func (x *exchange) readBody() *Refusal {
@@ -353,6 +376,7 @@
 	x.sentTo, x.excluded = map[incarnation]bool{}, map[incarnation]bool{}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.f.ended, cancel)()
 	for {
 		switch refusal, done := x.attemptOnce(ctx); {
 		case done:
@@ -383,9 +407,12 @@
 		refusal = badGateway(refusal.Reason)
 	}
 	if ctx.Err() != nil {
-		if x.mayHaveRun {
+		switch {
+		case x.mayHaveRun:
 			refusal = gatewayTimeout()
-		} else {
+		case x.f.ended.Err() != nil:
+			refusal = refuseStopping()
+		default:
 			refusal = refuseUnavailable("timeout-waiting", 0)
 		}
 	}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// stoppingRetryAfter is short, because other entries can take the request at once.
+const stoppingRetryAfter = 10 * time.Millisecond
+
+func refuseStopping() *Refusal {
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Reason: "stopping", RetryAfter: stoppingRetryAfter,
+		Message: "this entry is stopping and the request may last longer; it has not run, send it again on a new connection",
+	}
+}
+
 func refuseNoRoute(host, path string) *Refusal {
 	return &Refusal{
 		Status: http.StatusNotFound, Reason: "no-route",
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -71,6 +71,11 @@
 	// drainNoticeTime is how long after the start of a planned shutdown the load balancer may still route callers to this
 	// entry: it probes once a second and removes an entry after two failed probes.
 	drainNoticeTime = 3 * time.Second
+	// lateRequestMargin is the time before the end of drainNoticeTime from which requests are refused that may last beyond
+	// the stop.
+	lateRequestMargin = 250 * time.Millisecond
+	// answerMargin is the time reserved for the answers to the requests that are open at the end of the shutdown.
+	answerMargin = 250 * time.Millisecond
 	// stopMargin is the time reserved between the end of the shutdown and the kill by the platform.
 	stopMargin = 250 * time.Millisecond
 	// answerMemoryFraction is the fraction of the process's memory limit that answers may hold at a time.
@@ -457,16 +462,26 @@
 }
 
 // shutdown stops the entry gracefully. It first fails the readiness probe and asks callers to reconnect to another entry.
-// Then it waits for open requests, which are cut off only at the end of the stop timeout.
+// Shortly before the load balancer has taken the entry out, it begins to refuse requests that may last beyond the stop.
+// Then it waits for open requests, and at the end of the stop timeout it answers those that remain.
 func (e *Entry) shutdown(callers *http.Server) {
 	begin, timeout := time.Now(), e.tuning.Load().StopTimeout
 	e.log.Info().Int64("Open", e.forwarder.OpenRequests()).Dur("Timeout", timeout).Msg("entry: stopping")
 	e.leaving.Store(true)
 	e.sharer.Leave()
 	e.forwarder.Leave()
-	time.Sleep(min(drainNoticeTime, timeout/2))
-	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(timeout-stopMargin))
+	notice := min(drainNoticeTime, timeout/2)
+	end := begin.Add(timeout - stopMargin)
+	time.Sleep(notice - lateRequestMargin)
+	e.forwarder.Stop(end.Add(-answerMargin))
+	time.Sleep(time.Until(begin.Add(notice)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	answering := time.AfterFunc(time.Until(end.Add(-answerMargin)), func() {
+		e.log.Warn().Int64("Open", e.forwarder.OpenRequests()).Msg("entry: open requests are ended")
+		e.forwarder.End()
+	})
+	defer answering.Stop()
 	if err := callers.Shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Int64("Open", e.forwarder.OpenRequests()).Msg("entry: requests cut at the end of the stop")
 	}
