An odd entry does not hide the list of VMs

Entries are decoded one by one; those that can't be are logged when they change. TestOddVMDoesNotHideTheList failed before.

--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -78,7 +78,7 @@
 	killed chan struct{}
 }
 
-func newProcessBase(c configurer.Common, role string, peers net.Listener) (processBase, error) {
+func newProcessBase(c configurer.Common, role string, peers net.Listener, log zerolog.Logger) (processBase, error) {
 	signer, err := authenticator.New(authenticator.Config{Secret: c.Secret})
 	if err != nil {
 		return processBase{}, errors.Wrap(err, "invalid secret; set Secret or GERANIUMLADDER_SECRET")
@@ -93,7 +93,7 @@
 	}
 	return processBase{
 		signer: signer, messenger: messenger.New(messenger.Config{Signer: signer}),
-		platform: storer.NewClient(storer.ClientConfig{URL: c.Platform}), meter: instruments, advertisedAddress: advertisedAddress,
+		platform: storer.NewClient(storer.ClientConfig{URL: c.Platform, Log: log}), meter: instruments, advertisedAddress: advertisedAddress,
 		killed: make(chan struct{}),
 	}, nil
 }
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	base, err := newProcessBase(settings.Common, "entry", peerListener)
+	base, err := newProcessBase(settings.Common, "entry", peerListener, log)
 	if err != nil {
 		return nil, err
 	}
@@ -191,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	base, err := newProcessBase(settings.Common, "sidecar", peerListener)
+	base, err := newProcessBase(settings.Common, "sidecar", peerListener, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
@@ -19,6 +20,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	s3types "github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 )
 
 // DefaultTableName is the default name of the table and of the object store's bucket.
@@ -56,6 +58,8 @@
 	Table string
 	// Now returns the time at which requests are signed; time.Now if nil.
 	Now func() time.Time
+	// Log receives a line when the list of VMs has an entry that can't be decoded. By default nothing is logged.
+	Log zerolog.Logger
 }
 
 // Client is a Platform that is accessed over HTTP. It never retries: a write whose response was lost may have taken
@@ -66,6 +70,8 @@
 	http      *http.Client
 	table     *dynamodb.Client
 	objects   *s3.Client
+	// loggedVMs holds the errors of the entries of the list of VMs that could not be decoded in the last call.
+	loggedVMs atomic.Pointer[string]
 }
 
 var _ Platform = (*Client)(nil)
@@ -444,6 +450,28 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("unexpected status %s", resp.Status)
 	}
-	var groups []TargetGroup
-	return groups, json.Unmarshal(body, &groups)
+	// Entries are decoded one by one, so that an odd one doesn't hide the others.
+	var entries []json.RawMessage
+	if err := json.Unmarshal(body, &entries); err != nil {
+		return nil, err
+	}
+	groups := make([]TargetGroup, 0, len(entries))
+	var invalid []string
+	for _, entry := range entries {
+		var g TargetGroup
+		if err := json.Unmarshal(entry, &g); err != nil {
+			invalid = append(invalid, err.Error())
+			continue
+		}
+		groups = append(groups, g)
+	}
+	c.logInvalidVMs(strings.Join(invalid, "; "))
+	return groups, nil
+}
+
+// logInvalidVMs logs the errors of the entries that are ignored, if they have changed since the last call.
+func (c *Client) logInvalidVMs(invalid string) {
+	if last := c.loggedVMs.Swap(&invalid); invalid != "" && (last == nil || *last != invalid) {
+		c.config.Log.Warn().Str("Errors", invalid).Msg("storer: invalid entries in the list of VMs ignored")
+	}
 }
--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -1,9 +1,11 @@
 package storer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -292,3 +295,26 @@
 		}
 	})
 }
+
+// TestOddVMDoesNotHideTheList guards against an entry of the list of VMs that can't be decoded, after which the processes
+// would stop following the list.
+func TestOddVMDoesNotHideTheList(t *testing.T) {
+	const valid = `{"targets":["10.0.0.1:7"],"labels":{"Vm":"e1","FailureDomain":"a","Role":"entry","State":"Live"}}`
+	odd := []string{
+		`{"targets":"10.0.0.2:7"}`, `{"targets":[99999999999999999999]}`, `{"targets":["10.0.0.2:7"],"labels":{"Vm":1e999}}`, `7`, `"e2"`, `[]`,
+		`{"labels":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "["+strings.Join(append(odd, valid), ",")+"]")
+	}))
+	t.Cleanup(server.Close)
+	var out bytes.Buffer
+	client := storer.NewClient(storer.ClientConfig{URL: server.URL, Log: zerolog.New(&out)})
+	t.Cleanup(client.Close)
+	for range 3 {
+		vms, err := client.ListVMs(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, vms, []storer.VM{{Name: "e1", Address: "10.0.0.1:7", FailureDomain: "a", Role: "entry"}})
+	}
+	assert.Equal(t, strings.Count(out.String(), "\n"), 1, out.String())
+}
