Tables are delivered in the order of their changes

What callers could see: a removed endpoint, or an older adapter version, in use again until the next change of the table.

Cause: reads, copies from peers and relayed reads change a table from several goroutines, and each passed its result to OnChange after releasing the lock, so that an older result could be delivered last.

Change: deliveries have a lock of their own and pass on the content as it is then, so that the last delivery has the last change.

TestTablesAreDeliveredInOrder failed before (version 1 in force after 2).

--- a/internal/registrar/follower.go
+++ b/internal/registrar/follower.go
@@ -111,6 +111,9 @@
 	// wake ends the wait for relayed reads.
 	wake chan struct{}
 
+	// delivering is held during calls of OnChange, and never taken while mu is held.
+	delivering sync.Mutex
+
 	mu       sync.Mutex
 	relayer  relayer.Relayer
 	retainer retainer.Retainer
@@ -423,9 +426,8 @@
 		}
 	}
 	f.version, f.rows = rows.Version, next
-	table := f.tableLocked()
 	f.mu.Unlock()
-	f.config.OnChange(table)
+	f.deliver()
 	return nil
 }
 
@@ -485,10 +487,9 @@
 	}
 	changed := f.dropExpired(readAt) || isCloned
 	f.version, f.rows = max(rows.Version, f.version), next
-	table := f.tableLocked()
 	f.mu.Unlock()
 	if changed {
-		f.config.OnChange(table)
+		f.deliver()
 	}
 }
 
@@ -531,9 +532,8 @@
 		}
 	}
 	f.version, f.rows, f.retained = rows.Version, next, retained
-	table := f.tableLocked()
 	f.mu.Unlock()
-	f.config.OnChange(table)
+	f.deliver()
 	return true
 }
 
@@ -547,10 +547,9 @@
 			changed = true
 		}
 	}
-	table := f.tableLocked()
 	f.mu.Unlock()
 	if changed {
-		f.config.OnChange(table)
+		f.deliver()
 	}
 }
 
@@ -573,6 +572,14 @@
 	return rows
 }
 
+// deliver passes the current content to OnChange. Several goroutines change the table, so that one of them could otherwise
+// deliver an older content after another one has delivered a newer.
+func (f *Follower) deliver() {
+	f.delivering.Lock()
+	defer f.delivering.Unlock()
+	f.config.OnChange(f.Table())
+}
+
 // Name returns the name of the table.
 func (f *Follower) Name() string { return f.config.Table }
 
@@ -580,11 +587,6 @@
 func (f *Follower) Table() Table {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.tableLocked()
-}
-
-// tableLocked returns the current content. The caller holds mu.
-func (f *Follower) tableLocked() Table {
 	if len(f.retained) == 0 {
 		return Table{Version: f.version, Rows: f.rows}
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"geraniumladder/internal/registrar"
@@ -278,6 +279,57 @@
 	})
 }
 
+// TestTablesAreDeliveredInOrder guards against an older table that is put in force after a newer one, because a read and a
+// copy from a peer changed the table at the same time: a removed row would be in use again until the next change.
+func TestTablesAreDeliveredInOrder(t *testing.T) {
+	s := newFakeStore()
+	s.put("left", "1")
+	applying, proceed, merged := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	var deliveries atomic.Int64
+	var inForce atomic.Int64
+	f := registrar.NewFollower(registrar.FollowerConfig{
+		Table: "endpoints", Source: s, Pause: time.Hour, Now: time.Now, Log: zerolog.Nop(),
+		OnChange: func(table registrar.Table) {
+			if table.Version == 1 {
+				close(applying)
+				<-proceed
+			}
+			inForce.Store(table.Version)
+			deliveries.Add(1)
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	end := make(chan error)
+	go func() { end <- f.Run(ctx) }()
+	<-applying
+	go func() {
+		defer close(merged)
+		f.Merge(registrar.Rows{Version: 2}, time.Now())
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.Table().Version == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("the copy has not arrived")
+	})
+	select {
+	case <-merged:
+	case <-time.After(50 * time.Millisecond):
+		// The copy waits for its turn.
+	}
+	close(proceed)
+	<-merged
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if deliveries.Load() == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("%d deliveries", deliveries.Load())
+	})
+	assert.Equal(t, inForce.Load(), int64(2))
+	cancel()
+	assert.Check(t, errors.Is(<-end, context.Canceled))
+}
+
 // TestMergeOnlyForward checks that an older copy from a peer does not replace a newer one.
 func TestMergeOnlyForward(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
