Test of answers without end waits for cuts instead of deadlines

Traced: under that load their bytes had not arrived by then, so that they held little and were not to be cut. The test took an answer that is late for one that is held.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -210,6 +210,8 @@
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: registrar.Stream, Timeout: 5 * time.Second, Targets: targets, Attempts: 2},
 			{Name: "resume", Host: "h", Prefix: "/resume/", Kind: registrar.Stream, Timeout: 5 * time.Second, Targets: targets, Attempts: 2, Resumable: true},
 			{Name: "short", Host: "h", Prefix: "/short/", Kind: registrar.Once, Timeout: 100 * time.Millisecond, Targets: targets, Attempts: 1},
+			{Name: "long", Host: "h", Prefix: "/long/", Kind: registrar.Once, Timeout: time.Minute, Targets: targets, Attempts: 1},
+			{Name: "longstream", Host: "h", Prefix: "/longstream/", Kind: registrar.Stream, Timeout: time.Minute, Targets: targets, Attempts: 1},
 			{Name: "open", Host: "h", Prefix: "/open/", Kind: registrar.Repeatable, Timeout: time.Second, Targets: targets, Attempts: 1, Open: true},
 		},
 		Services:      []registrar.Service{{Name: "s"}},
@@ -1009,42 +1011,40 @@
 // TestEndlessAnswersTogetherAreBounded guards against many answers without end that each stay within their own limit and
 // together fill the entry's memory, so that it ends with the requests of all callers. Ordinary answers pass meanwhile.
 func TestEndlessAnswersTogetherAreBounded(t *testing.T) {
-	const requests, answerMemory, answer = 200, 8 << 20, 1000 << 10
-	for _, path := range []string{"/once/", "/stream/"} {
+	// Each answer stays below its own limit. All but maxHeld of them exceed the memory together.
+	const requests, answerMemory, answer = 40, 1 << 20, 300 << 10
+	const maxHeld = answerMemory / (answer - 64<<10)
+	for _, path := range []string{"/long/", "/longstream/"} {
+		ctx, cancel := context.WithCancel(t.Context())
 		endless := newEndpoint(t, "endless", func(c net.Conn, r *http.Request, _ int) bool {
 			if r.Header.Get("Small") != "" {
 				return respond(c, r, 200, "", streamText(1, 1))
 			}
-			// The answer stays below its own limit, and its end stays away.
 			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\ndata: "+strings.Repeat("a", answer))
-			<-t.Context().Done()
+			<-ctx.Done()
 			return err == nil && false
 		})
 		f := newFixtureWithConfig(t, func(c *forwarder.Config) { c.AnswerMemory = answerMemory }, endless)
-		var held, cut atomic.Int64
+		var cut atomic.Int64
 		var replies sync.WaitGroup
 		for n := range requests {
 			replies.Add(1)
 			go func() {
 				defer replies.Done()
-				switch f.sendCtx(t.Context(), path, "", "Id", strconv.Itoa(n), "Patience", "2500").status {
-				case http.StatusGatewayTimeout:
-					held.Add(1)
-				case http.StatusBadGateway:
+				if f.sendCtx(ctx, path, "", "Id", strconv.Itoa(n)).status == http.StatusBadGateway {
 					cut.Add(1)
 				}
 			}()
 		}
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if endless.count() == requests {
+			if cut.Load() >= requests-maxHeld {
 				return poll.Success()
 			}
-			return poll.Continue("%d requests", endless.count())
+			return poll.Continue("%d of %d answers are cut off", cut.Load(), requests)
 		}, poll.WithTimeout(30*time.Second))
 		assert.Equal(t, f.send(t, path, "", "Id", "small", "Small", "1").status, 200)
+		cancel()
 		replies.Wait()
-		assert.Equal(t, held.Load()+cut.Load(), int64(requests))
-		assert.Assert(t, held.Load() <= answerMemory/(answer-64<<10), "%d answers were held to their deadlines", held.Load())
 	}
 }
 
