--- a/internal/registrar/fleet_test.go
+++ b/internal/registrar/fleet_test.go
@@ -60,10 +60,11 @@
 	relay     time.Duration
 	// startAfter and phase are the starts of the followers and of the endpoints' renewals.
 	startAfter, phase []time.Duration
-	// lapsesLate makes registrations lapse only when the store is back.
-	lapsesLate bool
-	outages    []outage
-	leaves     []leave
+	// lapsesLate makes registrations lapse only when the store is back, and losesHeld makes it lose the reads that it held
+	// open when it went away.
+	lapsesLate, losesHeld bool
+	outages               []outage
+	leaves                []leave
 	// compactions are the times at which the store's history is lost, and changes those at which the configuration
 	// changes, unless the store is away.
 	compactions, changes []time.Duration
@@ -77,7 +78,7 @@
 
 func drawSchedule(t *rapid.T) fleetSchedule {
 	s := fleetSchedule{
-		followers: rapid.IntRange(1, 4).Draw(t, "followers"), lapsesLate: rapid.Bool().Draw(t, "lapses late"),
+		followers: rapid.IntRange(1, 4).Draw(t, "followers"), lapsesLate: rapid.Bool().Draw(t, "lapses late"), losesHeld: rapid.Bool().Draw(t, "loses held"),
 		relay: rapid.SampledFrom([]time.Duration{0, 500 * time.Millisecond}).Draw(t, "relay"),
 	}
 	for range s.followers {
@@ -155,6 +156,17 @@
 	return true
 }
 
+// wasAway reports whether an outage affected the follower since a time.
+func (s *fleetStore) wasAway(follower int, since time.Duration) bool {
+	now := time.Since(s.begin)
+	for _, o := range s.schedule.outages {
+		if (o.follower == -1 || o.follower == follower) && o.at <= now && o.at+o.length > since {
+			return true
+		}
+	}
+	return false
+}
+
 // pass waits for one way between follower and store.
 func (s *fleetStore) pass(ctx context.Context, follower int) error {
 	time.Sleep(transit)
@@ -197,7 +209,11 @@
 	if err := s.pass(ctx, s.follower); err != nil {
 		return registrar.Rows{}, err
 	}
+	heldFrom := time.Since(s.begin)
 	rows, err := s.fleetStore.ReadChanges(ctx, table, after, wait)
+	if err == nil && s.schedule.losesHeld && s.wasAway(s.follower, heldFrom) {
+		<-ctx.Done()
+	}
 	if err == nil {
 		err = s.pass(ctx, s.follower)
 	}
