Evacuation of a failure domain on the users' platform

Operators could not take the traffic from a failure domain: the row evacuate/DOMAIN of the operators' table was ignored, so requests, retries and load orders went on to the endpoints there.

The entries now decode these rows (registrar.Operators, which replaces the two results of DecodeOperators) and leave the endpoints of an evacuated domain out of the candidates. The same check is repeated under the fleet's lock immediately before the send, after the connection has been acquired, so that an order that arrives meanwhile stops the send; the check there also covers leaving and superseded endpoints. Requests that have been sent are left alone. Entries that are cut off from the store learn of the order with the tables that they copy from one another. Sidecars read the operators' table every 10 s only, so the entries state the evacuated domains and the table's version in their demand messages at the regular interval and at once after a change; the sidecar believes the highest version, so an entry with an old copy can't end or renew an evacuation, and sends no orders meanwhile. Entries that have never seen an evacuation send what they sent before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -120,11 +120,14 @@
 	if sel.isLimited {
 		return refuseUnavailable("endpoint-limit", cmp.Or(sel.limitedFor, unavailableRetryAfter))
 	}
+	if sel.isEvacuated {
+		return refuseUnavailable("evacuated", evacuatedRetryAfter)
+	}
 	return refuseUnavailable("no-endpoint", unavailableRetryAfter)
 }
 
 // awaitAdapter requests the adapter from the endpoint's sidecar and waits until it is resident, the endpoint becomes
-// unavailable, or adapterLoadTimeout expires.
+// unavailable or gets no more requests, or adapterLoadTimeout expires.
 func (x *exchange) awaitAdapter(ctx context.Context, e *endpoint, version int64) (isResident, isUnavailable bool) {
 	f := x.f.fleet
 	f.mu.Lock()
@@ -145,8 +148,13 @@
 		f.mu.Lock()
 		changed := e.changed
 		resident := e.residency(x.call.Model, version) == selector.Resident
-		unavailable := e.state.IsDown || e.liveness == detector.Silent || f.isGone(e)
+		unavailable := e.state.IsDown || e.liveness == detector.Silent
+		gone := f.isGone(e)
 		f.mu.Unlock()
+		if gone {
+			// It is no candidate any more, so the request need not avoid it.
+			return false, false
+		}
 		if resident || unavailable {
 			return resident && !unavailable, unavailable
 		}
@@ -173,13 +181,9 @@
 		version = f.version(x.call.Model)
 	}
 	f.mu.Lock()
-	if f.isGone(e) {
-		f.mu.Unlock()
-		return nil, false
-	}
-	if !x.f.throttle.take(e) {
-		// Another request has used the limit since the endpoint was selected. The retry, if this is one, has been
-		// charged.
+	if f.isGone(e) || !x.f.throttle.take(e) {
+		// The endpoint has gone or another request has used the limit since the endpoint was selected. The retry, if
+		// this is one, has been charged.
 		f.mu.Unlock()
 		x.isRetryCharged = x.sendCount > 0
 		return nil, false
@@ -236,10 +240,14 @@
 	if refusal := x.refuseBlocked(); refusal != nil {
 		return refusal, false
 	}
+	a := x.attempt(key, conn)
+	if !f.addAttempt(e, a) {
+		// The endpoint has gone while the connection was acquired.
+		x.isRetryCharged = x.sendCount > 0
+		return nil, false
+	}
 	x.sendCount++
 	x.attemptEvents, x.attemptFirstEventAt, x.hasBegun, x.isProven = 0, time.Time{}, false, false
-	a := x.attempt(key, conn)
-	f.addAttempt(e, a)
 	defer func() {
 		f.removeAttempt(e, a)
 		x.isRetryCharged = a.isAbandoned.Load()
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -121,6 +121,8 @@
 	byService     map[string][]*endpoint
 	byAddress     map[string]*endpoint
 	versions      map[registrar.AdapterKey]int64
+	// evacuated is the set of failure domains whose endpoints get no requests.
+	evacuated map[string]bool
 	// crashes holds the crashes that takeCrashes has not returned yet.
 	crashes []endpointCrash
 }
@@ -300,6 +302,8 @@
 	// which one takes a request.
 	isLimited  bool
 	limitedFor time.Duration
+	// isEvacuated is set if an endpoint was left out because its failure domain is evacuated.
+	isEvacuated bool
 	// due is the index of a candidate that should get a request in order to learn whether its limit is still in force;
 	// -1 if there is none.
 	due int
@@ -308,7 +312,7 @@
 // candidates returns the endpoints that may serve the request, with the inputs of the cost function.
 func (f *fleet) candidates(sel *criteria) ([]selector.Candidate, []*endpoint) {
 	now := f.now()
-	sel.isLimited, sel.limitedFor, sel.due = false, 0, -1
+	sel.isLimited, sel.limitedFor, sel.isEvacuated, sel.due = false, 0, false, -1
 	list := f.byService[sel.service]
 	candidates := make([]selector.Candidate, 0, len(list))
 	endpoints := make([]*endpoint, 0, len(list))
@@ -317,6 +321,10 @@
 		if e.IsLeaving || e.isSuperseded || sel.excluded[key] || sel.becameUnavailable[key] || sel.only != nil && !sel.only[key] {
 			continue
 		}
+		if f.evacuated[e.Domain] {
+			sel.isEvacuated = true
+			continue
+		}
 		ok, isDue, after := sel.allows(e)
 		if !ok {
 			sel.isLimited = true
@@ -366,9 +374,10 @@
 	return c
 }
 
-// isGone reports whether the endpoint is leaving, superseded or no longer listed, so that it gets no new requests.
+// isGone reports whether the endpoint is leaving, superseded, no longer listed or in an evacuated failure domain, so that
+// it gets no new requests.
 func (f *fleet) isGone(e *endpoint) bool {
-	return e.IsLeaving || e.isSuperseded || f.byIncarnation[incarnation{id: e.ID, born: e.Born}] != e
+	return e.IsLeaving || e.isSuperseded || f.evacuated[e.Domain] || f.byIncarnation[incarnation{id: e.ID, born: e.Born}] != e
 }
 
 // recordMisdirected records that another endpoint now has the address, or that the engine lacks the adapter or its
--- a/internal/forwarder/liveness.go
+++ b/internal/forwarder/liveness.go
@@ -53,10 +53,15 @@
 
 func (a *attempt) recordProgress(now time.Time) { a.lastProgress.Store(now.UnixNano()) }
 
-func (f *fleet) addAttempt(e *endpoint, a *attempt) {
+// addAttempt records an attempt that is about to be sent. It returns false if the endpoint must not get it any more.
+func (f *fleet) addAttempt(e *endpoint, a *attempt) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.isGone(e) {
+		return false
+	}
 	e.attempts[a] = struct{}{}
+	return true
 }
 
 func (f *fleet) removeAttempt(e *endpoint, a *attempt) {
@@ -161,7 +166,7 @@
 // hasAlternative reports whether another endpoint of the service can take requests.
 func (f *fleet) hasAlternative(e *endpoint) bool {
 	for _, other := range f.byService[e.Service] {
-		if other != e && !other.IsLeaving && !other.isSuperseded && other.liveness == detector.Heard && !other.state.IsDown {
+		if other != e && !other.IsLeaving && !other.isSuperseded && !f.evacuated[other.Domain] && other.liveness == detector.Heard && !other.state.IsDown {
 			return true
 		}
 	}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -133,6 +133,8 @@
 	// ReserveLoad reserves one load of a model from the weight store, whose load rate is limited for the whole fleet.
 	// It returns false when the limit is reached.
 	ReserveLoad func(ctx context.Context) (bool, error)
+	// IsEvacuated reports whether the engine's failure domain is evacuated. No order is sent while it is.
+	IsEvacuated func() bool
 	// NewFencingToken returns a fencing token that is higher than all earlier ones.
 	NewFencingToken func(ctx context.Context) (int64, error)
 	// ObserveLoad records a finished load, with the result "ok" or "failed" and the time since the order.
@@ -388,7 +390,7 @@
 	sent := false
 	for range maxConcurrentLoads {
 		capacity := o.config.Capacity()
-		if capacity == nil || report.IsBusy {
+		if capacity == nil || report.IsBusy || o.config.IsEvacuated() {
 			return sent
 		}
 		step, ok := Plan(Holdings{
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -282,6 +282,7 @@
 		ReserveLoad: func(context.Context) (bool, error) { return true, nil }, NewFencingToken: fence,
 		ObserveLoad: func(result string, _ time.Duration) { out.inspect(func() { out.loads = append(out.loads, result) }) },
 		SendState:   func(s wire.EngineState, _ []string) { out.inspect(func() { out.states = append(out.states, s) }) },
+		IsEvacuated: func() bool { return false },
 		Now:         time.Now, Log: zerolog.Nop(),
 	})
 }
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -142,6 +142,16 @@
 	PlainTokens float64
 }
 
+// Operators is the content of the operators' table: the configuration and the orders beside it.
+type Operators struct {
+	// Configuration is nil if the table has no valid one.
+	Configuration *Configuration
+	// Versions are the declared adapter versions.
+	Versions map[AdapterKey]int64
+	// Evacuated is the set of failure domains whose endpoints get no requests.
+	Evacuated map[string]bool
+}
+
 // Limits are the bounds on the size of callers' requests, on the time to receive headers and on idle connections.
 type Limits struct {
 	HeaderBytes int
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -36,8 +36,8 @@
 	// EndpointsTable that of the endpoint registrations.
 	OperatorsTable() string
 	EndpointsTable() string
-	// DecodeOperators returns a nil configuration if the table has none. It logs rows that can't be decoded.
-	DecodeOperators(t registrar.Table, log zerolog.Logger) (*registrar.Configuration, map[registrar.AdapterKey]int64)
+	// DecodeOperators logs rows that can't be decoded.
+	DecodeOperators(t registrar.Table, log zerolog.Logger) registrar.Operators
 	DecodeEndpoints(t registrar.Table, log zerolog.Logger) []registrar.Endpoint
 }
 
@@ -130,6 +130,9 @@
 	boot         string
 	tuning       atomic.Pointer[Tuning]
 
+	// evacuation is what the operators' table says of evacuated failure domains.
+	evacuation atomic.Pointer[evacuation]
+
 	// hasNewEvidence means that the other entries should be told at once what endpoints have shown of themselves.
 	hasNewEvidence atomic.Bool
 
@@ -151,6 +154,9 @@
 	}
 	e := &Entry{config: c, log: c.Log, gossiper: g, meter: instruments, boot: g.NextStamp().Boot}
 	e.tuning.Store(&c.Tuning)
+	if err := registerEvacuationGauge(instruments, e.evacuation.Load); err != nil {
+		return nil, err
+	}
 	e.sharer = sharer.New(sharer.Config{
 		VM: c.VM, Domain: c.Domain, Address: c.PeerAddress, Seeds: c.Tuning.Seeds, Allowance: c.Tuning.LimitAllowance, Now: time.Now, Log: c.Log,
 	})
@@ -227,10 +233,12 @@
 }
 
 func (e *Entry) setOperators(t registrar.Table) {
-	configuration, versions := e.config.Platform.DecodeOperators(t, e.log)
+	operators := e.config.Platform.DecodeOperators(t, e.log)
+	configuration := operators.Configuration
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.forwarder.SetVersions(versions)
+	e.setEvacuation(evacuation{version: t.Version, domains: operators.Evacuated})
+	e.forwarder.SetVersions(operators.Versions)
 	if configuration != nil && e.forwarder.SetConfiguration(configuration) {
 		e.sharer.SetOrganisations(configuration.Organisations())
 		e.forwarder.SetEndpoints(e.endpointList)
@@ -267,10 +275,10 @@
 	}
 }
 
-// sendDemand sends this entry's demand to the sidecar of the engine at the address, or to all sidecars if it is empty.
-func (e *Entry) sendDemand(address string) { e.sendDemands(e.forwarder.Demands(address)) }
+// sendDemand sends this entry's demand to the sidecar of the engine at the address.
+func (e *Entry) sendDemand(address string) { e.sendDemands(e.forwarder.Demands(address), nil) }
 
-func (e *Entry) sendDemands(demands []forwarder.EngineDemand) {
+func (e *Entry) sendDemands(demands []forwarder.EngineDemand, statement *wire.Evacuation) {
 	for _, d := range demands {
 		host, _, err := net.SplitHostPort(d.Address)
 		if err != nil {
@@ -278,6 +286,7 @@
 		}
 		stamp := e.gossiper.NextStamp()
 		d.Message.Boot, d.Message.Sequence, d.Message.VM = stamp.Boot, stamp.Sequence, e.config.VM
+		d.Message.Evacuation = statement
 		e.gossiper.Send(kindEntryDemand, d.Message, net.JoinHostPort(host, strconv.Itoa(e.config.PeerPort)))
 	}
 }
@@ -439,8 +448,8 @@
 	}
 	addLoop(&group, func(ctx context.Context) error {
 		return looper.Run(ctx, e.gossiper.Run, e.operators.Run, e.endpoints.Run, e.exchangeState, e.forwarder.MeasureDelay,
-			looper.Every(demandInterval, func(context.Context) { e.sendDemand("") }),
-			looper.Every(changedDemandInterval, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands()) }),
+			looper.Every(demandInterval, func(context.Context) { e.sendAllDemands() }),
+			looper.Every(changedDemandInterval, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands(), nil) }),
 			looper.Every(forwarder.LivenessInterval, func(context.Context) { e.forwarder.CheckLiveness() }),
 			looper.Every(pruneInterval, func(context.Context) { e.forwarder.Prune() }),
 			looper.Every(copyInterval, e.copyTables), looper.Every(pruneInterval, func(context.Context) { e.setRelayIntervals() }))
--- /dev/null
+++ b/internal/resident/evacuation.go
@@ -0,0 +1,81 @@
+package resident
+
+import (
+	"maps"
+	"slices"
+
+	"geraniumladder/internal/meter"
+	"geraniumladder/internal/wire"
+)
+
+// evacuation is what one version of the operators' table says of evacuated failure domains. It is immutable.
+type evacuation struct {
+	version int64
+	domains map[string]bool
+}
+
+func (v *evacuation) isEvacuated(domain string) bool { return v != nil && v.domains[domain] }
+
+func registerEvacuationGauge(m *meter.Meter, load func() *evacuation) error {
+	return m.Gauge("geraniumladder.evacuated.domains", "{domain}", "Failure domains that are evacuated as far as the process knows.", func() float64 {
+		if v := load(); v != nil {
+			return float64(len(v.domains))
+		}
+		return 0
+	})
+}
+
+// setEvacuation applies the evacuated failure domains, and tells all sidecars at once if they have changed.
+func (e *Entry) setEvacuation(v evacuation) {
+	e.forwarder.SetEvacuated(v.domains)
+	previous := e.evacuation.Load()
+	if previous == nil && len(v.domains) == 0 {
+		// Processes that know of no evacuation so far need no statement.
+		return
+	}
+	e.evacuation.Store(&v)
+	if previous == nil || !maps.Equal(previous.domains, v.domains) {
+		e.sendAllDemands()
+	}
+}
+
+// sendAllDemands sends each sidecar this entry's demand, and what the entry knows of evacuations. Sidecars read the
+// operators' table too seldom to learn of an evacuation in time, and not at all during an outage of the store.
+func (e *Entry) sendAllDemands() {
+	var statement *wire.Evacuation
+	if v := e.evacuation.Load(); v != nil {
+		statement = &wire.Evacuation{Version: v.version, Domains: slices.AppendSeq([]string{}, maps.Keys(v.domains))}
+	}
+	e.sendDemands(e.forwarder.Demands(""), statement)
+}
+
+// handleEvacuation applies an entry's statement.
+func (s *Sidecar) handleEvacuation(w *wire.Evacuation) {
+	if w == nil {
+		return
+	}
+	v := evacuation{version: w.Version, domains: map[string]bool{}}
+	for _, domain := range w.Domains {
+		v.domains[domain] = true
+	}
+	s.setEvacuation(&v)
+}
+
+// setEvacuation replaces what this sidecar knows of evacuations by what a later version of the operators' table says. An
+// entry that is cut off from the store may go on stating an earlier one.
+func (s *Sidecar) setEvacuation(v *evacuation) {
+	for {
+		previous := s.evacuation.Load()
+		if previous != nil && previous.version >= v.version {
+			return
+		}
+		if !s.evacuation.CompareAndSwap(previous, v) {
+			continue
+		}
+		if is := v.isEvacuated(s.config.Domain); is != previous.isEvacuated(s.config.Domain) {
+			s.log.Warn().Str("Domain", s.config.Domain).Bool("IsEvacuated", is).Int64("StoreVersion", v.version).
+				Msg("sidecar: evacuation of the own failure domain changed; no orders are sent while it lasts")
+		}
+		return
+	}
+}
--- a/internal/resident/sidecar.go
+++ b/internal/resident/sidecar.go
@@ -17,7 +17,7 @@
 )
 
 // sidecarPollInterval is the interval between two reads of the operators' table. It is long because a sidecar needs only
-// the capacity of its engine, which seldom changes.
+// the capacity of its engine, which seldom changes, and learns of evacuations from the entries.
 const sidecarPollInterval = 10 * time.Second
 
 // loadsTable has a row for each service, with the times of the latest loads of models from the weight store.
@@ -33,7 +33,7 @@
 
 // SidecarConfig configures a Sidecar. Addresses are HOST:PORT.
 type SidecarConfig struct {
-	VM                          string
+	VM, Domain                  string
 	Service                     string
 	EngineAddress               string
 	PeerAddress                 string
@@ -59,7 +59,9 @@
 	// engine is nil until the configuration is known.
 	engine    atomic.Pointer[registrar.Engine]
 	operators *registrar.Follower
-	tuning    atomic.Pointer[Tuning]
+	// evacuation is the latest statement on evacuated failure domains; nil before the first.
+	evacuation atomic.Pointer[evacuation]
+	tuning     atomic.Pointer[Tuning]
 }
 
 // NewSidecar opens the datagram socket and assembles the sidecar.
@@ -75,22 +77,32 @@
 	}
 	s := &Sidecar{config: c, log: c.Log, gossiper: g, meter: instruments}
 	s.tuning.Store(&c.Tuning)
+	if err := registerEvacuationGauge(instruments, s.evacuation.Load); err != nil {
+		return nil, err
+	}
 	s.operators = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.OperatorsTable(), Source: c.Platform, Pause: sidecarPollInterval,
 		OnChange: s.setOperators, Now: time.Now, Log: c.Log,
 	})
 	s.orderer = orderer.New(orderer.Config{
 		VM: c.VM, Address: c.EngineAddress, Engine: c.Engine, Capacity: s.capacity.Load,
+		IsEvacuated: func() bool { return s.evacuation.Load().isEvacuated(c.Domain) },
 		ReserveLoad: s.acquireLoadPermit, NewFencingToken: c.NewFencingToken, ObserveLoad: instruments.Load, SendState: s.sendState, Now: time.Now, Log: c.Log,
 	})
 	gossiper.Handle(g, kindEntryDemand, func(d wire.EntryDemand) (string, gossiper.Stamp) {
 		return d.VM, gossiper.Stamp{Boot: d.Boot, Sequence: d.Sequence}
-	}, s.orderer.SetDemand)
+	}, func(d wire.EntryDemand, from string) {
+		// The evacuation is applied first, because a demand may lead to orders at once.
+		s.handleEvacuation(d.Evacuation)
+		s.orderer.SetDemand(d, from)
+	})
 	return s, nil
 }
 
 func (s *Sidecar) setOperators(t registrar.Table) {
-	configuration, _ := s.config.Platform.DecodeOperators(t, s.log)
+	operators := s.config.Platform.DecodeOperators(t, s.log)
+	s.setEvacuation(&evacuation{version: t.Version, domains: operators.Evacuated})
+	configuration := operators.Configuration
 	if configuration == nil {
 		return
 	}
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -395,6 +395,9 @@
 	// EndpointID ID under which the engine is registered; empty when the entry doesn't know it.
 	EndpointID string `json:"EndpointId"`
 
+	// Evacuation The failure domains that the operators have evacuated, as of a version of their table.
+	Evacuation *Evacuation `json:"Evacuation,omitempty"`
+
 	// Sequence Rises with each message of one run.
 	Sequence int64 `json:"Sequence"`
 
@@ -497,6 +500,14 @@
 	Members []EntryMember `json:"Members"`
 }
 
+// Evacuation The failure domains that the operators have evacuated, as of a version of their table.
+type Evacuation struct {
+	Domains []string `json:"Domains"`
+
+	// Version A statement of a higher version replaces those of lower ones.
+	Version int64 `json:"Version"`
+}
+
 // Freshness Proof of how new a revision is; AgeMs grows by the time that the proof spends in each process.
 type Freshness struct {
 	// AgeMs Time since the head read that proved Revision the newest began; -1 when there is no proof.
