Entries heed what endpoints report of themselves in responses

An endpoint that leaves got requests until its registration said so, and one that rejects with Retry-After was counted as failing and got more requests at once. Callers saw rejections that the entry could have avoided, and a 503 whose Retry-After was always 0.3 s.

A rejection with Retry-After no longer makes an endpoint suspect, its retries stay in the budget, and entries tell each other which endpoints are leaving (EntryState.Leaving). The clock that the limits, the crash evidence and the reports have in common is now one type. Each decision is a log line, and geraniumladder_endpoint_reports_total counts them by kind.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -83,10 +83,10 @@
 			sel.version = x.f.fleet.version(x.call.Model)
 		}
 		e, chosen, ok := x.f.choose(sel)
-		if !ok && (sel.isLimited || len(sel.becameUnavailable) == 0) {
-			return nil, refuseNoCandidate(sel)
-		}
 		if !ok {
+			if refusal := x.refuseNoCandidate(sel); refusal != nil {
+				return nil, refusal
+			}
 			// Every endpoint became unavailable during the wait for the adapter; retry all of them after a delay.
 			sel.becameUnavailable = nil
 			select {
@@ -116,9 +116,16 @@
 	}
 }
 
-func refuseNoCandidate(sel *criteria) *Refusal {
-	if sel.isLimited {
+// refuseNoCandidate returns a refusal, or nil if endpoints that became unavailable should be tried again.
+func (x *exchange) refuseNoCandidate(sel *criteria) *Refusal {
+	if refusal := x.refuseClosed(); refusal != nil {
+		return refusal
+	}
+	switch {
+	case sel.isLimited:
 		return refuseUnavailable("endpoint-limit", cmp.Or(sel.limitedFor, unavailableRetryAfter))
+	case len(sel.becameUnavailable) > 0:
+		return nil
 	}
 	return refuseUnavailable("no-endpoint", unavailableRetryAfter)
 }
@@ -165,7 +172,7 @@
 // send sends the request to the endpoint and handles its response.
 func (x *exchange) send(ctx context.Context, e *endpoint) (*Refusal, bool) {
 	f := x.f.fleet
-	x.current = nil
+	x.current, x.isRejected = nil, false
 	now := x.f.config.Now()
 	key := incarnation{id: e.ID, born: e.Born}
 	version := int64(0)
@@ -173,13 +180,9 @@
 		version = f.version(x.call.Model)
 	}
 	f.mu.Lock()
-	if f.isGone(e) {
-		f.mu.Unlock()
-		return nil, false
-	}
-	if !x.f.throttle.take(e) {
-		// Another request has used the limit since the endpoint was selected. The retry, if this is one, has been
-		// charged.
+	if f.isGone(e) || !x.f.throttle.take(e) {
+		// The endpoint has closed or another request has used its limit since it was selected. The retry, if this is one,
+		// has been charged.
 		f.mu.Unlock()
 		x.isRetryCharged = x.sendCount > 0
 		return nil, false
@@ -232,6 +235,14 @@
 	if hasCallerLeft(x.r) {
 		return refuseUnavailable(reasonCallerLeft, 0), false
 	}
+	f.mu.Lock()
+	isGone := f.isGone(e)
+	f.mu.Unlock()
+	if isGone {
+		// The endpoint has closed or begun to leave while the connection was opened.
+		x.isRetryCharged = x.sendCount > 0
+		return nil, false
+	}
 	// The parts may have been blocked while the request waited for its adapter.
 	if refusal := x.refuseBlocked(); refusal != nil {
 		return refusal, false
@@ -309,6 +320,7 @@
 			return nil, ResponseInfo{}, err
 		}
 		info := x.f.config.Translator.DecodeResponse(response)
+		x.recordReports(e, info)
 		if info.RequestID == x.call.ID || info.RequestID == "" && !conn.IsReused {
 			x.f.recordLimit(e, info)
 			return response, info, nil
@@ -352,6 +364,11 @@
 // writeBuffered forwards a buffered response to the caller.
 func (x *exchange) writeBuffered(response *bufferedResponse) {
 	copyHeader(x.w.Header(), response.header)
+	if x.isRejected && response.status == http.StatusServiceUnavailable {
+		if refusal := x.refuseClosed(); refusal != nil {
+			refusal.writeRetryAfter(x.w.Header())
+		}
+	}
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
 	x.w.WriteHeader(response.status)
 	if _, err := x.w.Write(response.body); err != nil {
@@ -519,8 +536,11 @@
 	return string(bytes.TrimSpace(line)), true
 }
 
-// recordOutcome updates the endpoint's failure statistics.
+// recordOutcome updates the endpoint's failure statistics. A rejection that says for how long is no failure.
 func (x *exchange) recordOutcome(e *endpoint, isFailure, isUnreachable bool) {
+	if isFailure && x.isRejected {
+		return
+	}
 	x.f.fleet.mu.Lock()
 	defer x.f.fleet.mu.Unlock()
 	if isFailure {
@@ -595,6 +615,9 @@
 		return nil, false
 	}
 	x.excluded[key] = true
+	if refusal := x.refuseClosed(); refusal != nil {
+		return refusal, false
+	}
 	if !x.hasAttemptsLeft() {
 		return refuseUnavailable("endpoint-full", unavailableRetryAfter), false
 	}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -74,6 +74,13 @@
 	// set.
 	RequestLimit float64
 	HasLimit     bool
+	// IsLeaving means that the endpoint is leaving and takes no new requests.
+	IsLeaving bool
+	// Closed is the time for which the endpoint wants no requests from this VM, if HasClosed is set.
+	Closed    time.Duration
+	HasClosed bool
+	// Malformed names the header that was ignored because its value is malformed; empty if there was none.
+	Malformed string
 }
 
 // Translator decodes and encodes the headers that callers and endpoints use.
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -123,12 +123,14 @@
 	versions      map[registrar.AdapterKey]int64
 	// crashes holds the crashes that takeCrashes has not returned yet.
 	crashes []endpointCrash
+	// reports holds what the endpoints have reported in responses.
+	reports *reports
 }
 
-func newFleet(domain string, now func() time.Time) *fleet {
+func newFleet(domain string, now func() time.Time, r *reports) *fleet {
 	return &fleet{
 		domain: domain, now: now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
-		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{},
+		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, reports: r,
 	}
 }
 
@@ -173,6 +175,10 @@
 		if next := f.byAddress[e.Address]; f.byIncarnation[key] == nil && next != nil && next.Born > e.Born {
 			f.markEnded(e)
 		}
+		if key.born == 0 && f.byIncarnation[key] == nil {
+			// The next run under this ID has the same key.
+			f.reports.forget(e.key)
+		}
 	}
 	return superseded
 }
@@ -314,7 +320,7 @@
 	endpoints := make([]*endpoint, 0, len(list))
 	for _, e := range list {
 		key := incarnation{id: e.ID, born: e.Born}
-		if e.IsLeaving || e.isSuperseded || sel.excluded[key] || sel.becameUnavailable[key] || sel.only != nil && !sel.only[key] {
+		if e.IsLeaving || e.isSuperseded || !f.reports.isOpen(e) || sel.excluded[key] || sel.becameUnavailable[key] || sel.only != nil && !sel.only[key] {
 			continue
 		}
 		ok, isDue, after := sel.allows(e)
@@ -366,9 +372,9 @@
 	return c
 }
 
-// isGone reports whether the endpoint is leaving, superseded or no longer listed, so that it gets no new requests.
+// isGone reports whether the endpoint is leaving, superseded, closed or no longer listed, so that it gets no new requests.
 func (f *fleet) isGone(e *endpoint) bool {
-	return e.IsLeaving || e.isSuperseded || f.byIncarnation[incarnation{id: e.ID, born: e.Born}] != e
+	return e.IsLeaving || e.isSuperseded || !f.reports.isOpen(e) || f.byIncarnation[incarnation{id: e.ID, born: e.Born}] != e
 }
 
 // recordMisdirected records that another endpoint now has the address, or that the engine lacks the adapter or its
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,6 +58,8 @@
 	Request(organisation, outcome string)
 	Refusal(organisation, reason string)
 	Retry(organisation string)
+	// EndpointReport counts a report of an endpoint in a response; kind is leaving, closed or malformed.
+	EndpointReport(kind string)
 	FirstToken(organisation string, d time.Duration)
 	// Delay records by how much the process is behind.
 	Delay(d time.Duration)
@@ -87,7 +89,7 @@
 	// AnswerMemory is the number of bytes of answers that may be held at a time, beside a small number for each request; the
 	// default is 32 MiB. SetAnswerMemory changes it.
 	AnswerMemory int64
-	// OnEvidence, if set, is called when CrashEvidence or Limits has changed and should be sent to the other entries soon.
+	// OnEvidence, if set, is called when CrashEvidence, Limits or Leaving has changed and should be sent to the other entries soon.
 	OnEvidence func()
 	Now        func() time.Time
 	Seed       uint64
@@ -101,6 +103,7 @@
 	fleet         *fleet
 	quarantine    *quarantine
 	throttle      *throttle
+	reports       *reports
 	answers       answerMemory
 	start         time.Time
 	retry         atomic.Pointer[retrier.Config]
@@ -132,10 +135,11 @@
 	if c.Shedding == nil {
 		c.Shedding = shedder.Standing{}
 	}
-	start := c.Now()
+	elapsed := clock{now: c.Now, start: c.Now()}
+	r := newReports(elapsed, c.Observer, c.Log)
 	f := &Forwarder{
-		config: c, fleet: newFleet(c.Domain, c.Now), start: start, retryBudgets: map[string]*retryBudget{},
-		quarantine: newQuarantine(start, c.Now, c.Log), throttle: newThrottle(c.VM, start, c.Now, c.Log),
+		config: c, fleet: newFleet(c.Domain, c.Now, r), start: elapsed.start, retryBudgets: map[string]*retryBudget{},
+		quarantine: newQuarantine(elapsed, c.Log), throttle: newThrottle(c.VM, elapsed, c.Log), reports: r,
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
 	f.ended, f.end = context.WithCancel(context.Background())
@@ -238,6 +242,8 @@
 	// hasBegun means that the current attempt has received a response head, and isProven that its answer counts as
 	// begun without harm to the endpoint.
 	hasBegun, isProven bool
+	// isRejected means that the endpoint has rejected the current attempt and said for how long it wants no more.
+	isRejected bool
 	// isProbe means that the request is sent although a part of its prompt was blocked until now.
 	isProbe bool
 	// current is the current attempt; nil while no connection has been acquired for it.
@@ -518,10 +524,11 @@
 func (f *Forwarder) ChangedDemands() []EngineDemand { return f.fleet.dirtyDemands() }
 
 // Prune closes pooled connections to endpoints that are no longer listed, removes outdated usage records, expired evidence
-// on crashes and expired limits, and applies the current members. It must be called periodically.
+// on crashes, expired limits and expired reports, and applies the current members. It must be called periodically.
 func (f *Forwarder) Prune() {
 	f.config.Pool.Prune(f.fleet.hasAddress)
 	f.fleet.pruneUsage()
 	f.quarantine.prune()
 	f.throttle.update(f.config.Members())
+	f.reports.prune(f.fleet.isListed)
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -79,6 +79,7 @@
 func (observer) Request(string, string)           {}
 func (observer) Refusal(string, string)           {}
 func (observer) Retry(string)                     {}
+func (observer) EndpointReport(string)            {}
 func (observer) FirstToken(string, time.Duration) {}
 func (observer) Delay(time.Duration)              {}
 
--- a/internal/forwarder/liveness.go
+++ b/internal/forwarder/liveness.go
@@ -161,7 +161,7 @@
 // hasAlternative reports whether another endpoint of the service can take requests.
 func (f *fleet) hasAlternative(e *endpoint) bool {
 	for _, other := range f.byService[e.Service] {
-		if other != e && !other.IsLeaving && !other.isSuperseded && other.liveness == detector.Heard && !other.state.IsDown {
+		if other != e && !other.IsLeaving && !other.isSuperseded && f.reports.isOpen(other) && other.liveness == detector.Heard && !other.state.IsDown {
 			return true
 		}
 	}
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -26,10 +26,8 @@
 
 // quarantine is this entry's evidence on parts of prompts that end endpoints. It is safe for concurrent use.
 type quarantine struct {
-	now func() time.Time
+	clock
 	log zerolog.Logger
-	// start is the origin of the times in state.
-	start time.Time
 
 	mu    sync.Mutex
 	state quarantiner.Quarantiner[string]
@@ -37,12 +35,10 @@
 	logged map[string]bool
 }
 
-func newQuarantine(start time.Time, now func() time.Time, log zerolog.Logger) *quarantine {
-	return &quarantine{now: now, log: log, start: start, state: quarantiner.New[string](quarantiner.Config{}), logged: map[string]bool{}}
+func newQuarantine(c clock, log zerolog.Logger) *quarantine {
+	return &quarantine{clock: c, log: log, state: quarantiner.New[string](quarantiner.Config{}), logged: map[string]bool{}}
 }
 
-func (q *quarantine) elapsed() time.Duration { return q.now().Sub(q.start) }
-
 // admit decides whether a request with the parts may be sent. If not, it returns the time after which it may be.
 func (q *quarantine) admit(parts []string, stagger time.Duration) (ok, isProbe bool, after time.Duration) {
 	q.mu.Lock()
@@ -90,17 +86,16 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.elapsed()
 	knownCrashes := make([]quarantiner.Crash[string], len(crashes))
 	for i, c := range crashes {
-		knownCrashes[i] = quarantiner.Crash[string]{Endpoint: c.Incarnation, At: now - time.Duration(c.AgeMilliseconds)*time.Millisecond}
+		knownCrashes[i] = quarantiner.Crash[string]{Endpoint: c.Incarnation, At: q.timeOfAge(c.AgeMilliseconds)}
 		for _, s := range c.Suspects {
 			knownCrashes[i].Suspects = append(knownCrashes[i].Suspects, quarantiner.Suspect[string]{Parts: s.Parts, HasBegun: s.HasBegun})
 		}
 	}
 	knownAcquittals := make([]quarantiner.Acquittal[string], len(acquittals))
 	for i, a := range acquittals {
-		knownAcquittals[i] = quarantiner.Acquittal[string]{Part: a.Part, At: now - time.Duration(a.AgeMilliseconds)*time.Millisecond}
+		knownAcquittals[i] = quarantiner.Acquittal[string]{Part: a.Part, At: q.timeOfAge(a.AgeMilliseconds)}
 	}
 	q.state = q.state.WithEvidence(knownCrashes, knownAcquittals)
 	return q.logBlocks()
@@ -140,18 +135,17 @@
 func (q *quarantine) evidence() ([]wire.EndpointCrash, []wire.PartAcquittal) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.elapsed()
 	known, acquitted := q.state.Evidence(maxEvidence)
 	crashes := make([]wire.EndpointCrash, len(known))
 	for i, c := range known {
-		crashes[i] = wire.EndpointCrash{Incarnation: c.Endpoint, AgeMilliseconds: (now - c.At).Milliseconds(), Suspects: []wire.CrashSuspect{}}
+		crashes[i] = wire.EndpointCrash{Incarnation: c.Endpoint, AgeMilliseconds: q.ageMilliseconds(c.At), Suspects: []wire.CrashSuspect{}}
 		for _, s := range c.Suspects {
 			crashes[i].Suspects = append(crashes[i].Suspects, wire.CrashSuspect{Parts: s.Parts, HasBegun: s.HasBegun})
 		}
 	}
 	acquittals := make([]wire.PartAcquittal, len(acquitted))
 	for i, a := range acquitted {
-		acquittals[i] = wire.PartAcquittal{Part: a.Part, AgeMilliseconds: (now - a.At).Milliseconds()}
+		acquittals[i] = wire.PartAcquittal{Part: a.Part, AgeMilliseconds: q.ageMilliseconds(a.At)}
 	}
 	return crashes, acquittals
 }
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -133,9 +133,13 @@
 	if requestID != "" {
 		h.Set(idHeader, requestID)
 	}
+	r.writeRetryAfter(h)
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(body)
+}
+
+func (r *Refusal) writeRetryAfter(h http.Header) {
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	w.WriteHeader(r.Status)
-	_, _ = w.Write(body)
 }
--- a/internal/forwarder/throttle.go
+++ b/internal/forwarder/throttle.go
@@ -13,10 +13,8 @@
 
 // throttle is this entry's share of the limits that endpoints name in their answers. It is safe for concurrent use.
 type throttle struct {
-	now func() time.Time
+	clock
 	log zerolog.Logger
-	// start is the origin of the times in state.
-	start time.Time
 
 	mu    sync.Mutex
 	state throttler.Throttler[string]
@@ -49,12 +47,10 @@
 	return true
 }
 
-func newThrottle(vm string, start time.Time, now func() time.Time, log zerolog.Logger) *throttle {
-	return &throttle{now: now, log: log, start: start, state: throttler.New[string](throttler.Config{}, vm, 0), announced: map[string]float64{}}
+func newThrottle(vm string, c clock, log zerolog.Logger) *throttle {
+	return &throttle{clock: c, log: log, state: throttler.New[string](throttler.Config{}, vm, 0), announced: map[string]float64{}}
 }
 
-func (t *throttle) elapsed() time.Duration { return t.now().Sub(t.start) }
-
 // record records what an answer of the endpoint says and reports whether the other entries should be told at once.
 func (t *throttle) record(e *endpoint, info ResponseInfo) bool {
 	if !info.HasLimit && info.IsNotRun {
@@ -82,7 +78,7 @@
 	statements := make([]throttler.Statement[string], len(limits))
 	for i, l := range limits {
 		statements[i] = throttler.Statement[string]{
-			Endpoint: l.Incarnation, PerSecond: l.PerSecond, At: now - time.Duration(l.AgeMilliseconds)*time.Millisecond,
+			Endpoint: l.Incarnation, PerSecond: l.PerSecond, At: t.timeOfAge(l.AgeMilliseconds),
 		}
 	}
 	t.state = t.state.WithStatements(statements, now)
@@ -95,11 +91,10 @@
 func (t *throttle) limits() []wire.EndpointLimit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.elapsed()
 	statements := t.state.Statements()
 	list := make([]wire.EndpointLimit, len(statements))
 	for i, s := range statements {
-		list[i] = wire.EndpointLimit{Incarnation: s.Endpoint, PerSecond: s.PerSecond, AgeMilliseconds: (now - s.At).Milliseconds()}
+		list[i] = wire.EndpointLimit{Incarnation: s.Endpoint, PerSecond: s.PerSecond, AgeMilliseconds: t.ageMilliseconds(s.At)}
 	}
 	return list
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -36,6 +36,7 @@
 	requests      metric.Int64Counter
 	refusals      metric.Int64Counter
 	retries       metric.Int64Counter
+	reports       metric.Int64Counter
 	tokens        metric.Int64Counter
 	loads         metric.Int64Counter
 	stalls        metric.Int64Counter
@@ -89,6 +90,7 @@
 	m.requests = counter("geraniumladder.requests", "{request}", "Requests answered, by outcome.")
 	m.refusals = counter("geraniumladder.refusals", "{request}", "Requests refused before they ran, by reason.")
 	m.retries = counter("geraniumladder.retries", "{request}", "Second and later dispatches.")
+	m.reports = counter("geraniumladder.endpoint.reports", "{report}", "Reports of endpoints in responses, by kind.")
 	m.tokens = counter("geraniumladder.tokens", "{token}", "Tokens, by kind prompt or answer.")
 	m.loads = counter("geraniumladder.adapter.loads", "{load}", "Adapter loads, by result.")
 	m.stalls = counter("geraniumladder.load.stalls", "{request}", "Requests that waited for an adapter load.")
@@ -148,6 +150,11 @@
 	m.retries.Add(context.Background(), 1, m.optionsFor(organisation).add...)
 }
 
+// EndpointReport counts a report of an endpoint in a response; kind is leaving, closed or malformed.
+func (m *Meter) EndpointReport(kind string) {
+	m.reports.Add(context.Background(), 1, metric.WithAttributes(attribute.String("Kind", kind)))
+}
+
 // Tokens adds n tokens; kind is prompt or answer.
 func (m *Meter) Tokens(organisation, kind string, n int) {
 	m.tokens.Add(context.Background(), int64(n), organisationAttributes(organisation, "Kind", kind))
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -182,6 +182,7 @@
 		e.sharer.HandleMessage(s)
 		e.forwarder.AddCrashEvidence(s.Crashes, s.Acquittals)
 		e.forwarder.AddLimits(s.Limits)
+		e.forwarder.AddLeaving(s.Leaving, s.VM)
 	})
 	gossiper.Handle(g, kindTableChanges, func(m wire.TableChanges) (string, gossiper.Stamp) {
 		return m.VM + "/" + m.Table, gossiper.Stamp{Boot: m.Boot, Sequence: m.Sequence}
@@ -309,6 +310,7 @@
 			lastEvidence = last
 			message.Crashes, message.Acquittals = e.forwarder.CrashEvidence()
 			message.Limits = e.forwarder.Limits()
+			message.Leaving = e.forwarder.Leaving()
 		}
 		if len(to) > 0 {
 			e.gossiper.Send(kindEntryState, message, to...)
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -460,6 +460,9 @@
 	// Known Addresses of the entries; only now and then.
 	Known *[]PeerAddress `json:"Known,omitempty"`
 
+	// Leaving Endpoints that said in responses to the sender that they are leaving.
+	Leaving []LeavingEndpoint `json:"Leaving,omitempty"`
+
 	// Limits What endpoints have said of their limits in answers to the sender.
 	Limits []EndpointLimit `json:"Limits,omitempty"`
 
@@ -561,6 +564,15 @@
 	RequestID   string `json:"RequestId"`
 }
 
+// LeavingEndpoint defines model for LeavingEndpoint.
+type LeavingEndpoint struct {
+	// AgeMilliseconds Time since the first response that said so.
+	AgeMilliseconds int64 `json:"AgeMilliseconds"`
+
+	// Incarnation Identifies one run of an endpoint.
+	Incarnation string `json:"Incarnation"`
+}
+
 // LendReply defines model for LendReply.
 type LendReply struct {
 	Epoch   int64  `json:"Epoch"`
