Merge what endpoints report of themselves in responses

Leaving, superseded, evacuated and closed endpoints are one check (fleet.takesRequests), which the candidates, the send and the search for an alternative share; the check before the send is that of the evacuation (addAttempt).

--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -125,12 +125,14 @@
 	evacuated map[string]bool
 	// crashes holds the crashes that takeCrashes has not returned yet.
 	crashes []endpointCrash
+	// reports holds what the endpoints have reported in responses.
+	reports *reports
 }
 
-func newFleet(domain string, now func() time.Time) *fleet {
+func newFleet(domain string, now func() time.Time, r *reports) *fleet {
 	return &fleet{
 		domain: domain, now: now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
-		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{},
+		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, reports: r,
 	}
 }
 
@@ -175,6 +177,10 @@
 		if next := f.byAddress[e.Address]; f.byIncarnation[key] == nil && next != nil && next.Born > e.Born {
 			f.markEnded(e)
 		}
+		if key.born == 0 && f.byIncarnation[key] == nil {
+			// The next run under this ID has the same key.
+			f.reports.forget(e.key)
+		}
 	}
 	return superseded
 }
@@ -318,11 +324,11 @@
 	endpoints := make([]*endpoint, 0, len(list))
 	for _, e := range list {
 		key := incarnation{id: e.ID, born: e.Born}
-		if e.IsLeaving || e.isSuperseded || sel.excluded[key] || sel.becameUnavailable[key] || sel.only != nil && !sel.only[key] {
+		if sel.excluded[key] || sel.becameUnavailable[key] || sel.only != nil && !sel.only[key] {
 			continue
 		}
-		if f.evacuated[e.Domain] {
-			sel.isEvacuated = true
+		if !f.takesRequests(e) {
+			sel.isEvacuated = sel.isEvacuated || f.evacuated[e.Domain]
 			continue
 		}
 		ok, isDue, after := sel.allows(e)
@@ -374,10 +380,15 @@
 	return c
 }
 
-// isGone reports whether the endpoint is leaving, superseded, no longer listed or in an evacuated failure domain, so that
-// it gets no new requests.
+// takesRequests reports whether the endpoint gets new requests: it isn't leaving, superseded, closed or in an evacuated
+// failure domain.
+func (f *fleet) takesRequests(e *endpoint) bool {
+	return !e.IsLeaving && !e.isSuperseded && !f.evacuated[e.Domain] && f.reports.isOpen(e)
+}
+
+// isGone reports whether the endpoint gets no new requests any more or is no longer listed.
 func (f *fleet) isGone(e *endpoint) bool {
-	return e.IsLeaving || e.isSuperseded || f.evacuated[e.Domain] || f.byIncarnation[incarnation{id: e.ID, born: e.Born}] != e
+	return !f.takesRequests(e) || f.byIncarnation[incarnation{id: e.ID, born: e.Born}] != e
 }
 
 // recordMisdirected records that another endpoint now has the address, or that the engine lacks the adapter or its
