Limit adapter loads to what the weight store carries

Requests with absent adapters had all their loads ordered at once. With more loads in flight than the weight store carries at full speed, each takes proportionally longer, and loads whose requests are late anyway slow the others; endpoint selection expected 260 ms for a load that took 540 ms at the median on deployment B.

pkg/budgeter counts the loads in flight from the engines' reports and this entry's unseen orders, learns the store's limit from the durations that the sidecars now report (EngineState.Transfers), and starts waiting loads by the value of their responses. The entry joins a duration with the mean number in flight that it saw during the load. Entries that see the same free place start loads as a Poisson process whose rate over all entries fills the free places within 80 ms. A waiting request selects an endpoint again at each change, and the expected wait is part of the expected time. Until slowed loads have been measured there is no limit.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -75,6 +75,7 @@
 	if len(x.sentTo) >= x.route.Attempts {
 		sel.only = x.sentTo
 	}
+	defer x.leaveTransferQueue()
 	for {
 		if ctx.Err() != nil || x.deadline.Sub(x.f.config.Now()) < minRemaining {
 			return nil, refuseUnavailable("timeout-waiting", 0)
@@ -96,11 +97,10 @@
 			continue
 		}
 		x.chosen = chosen
-		if chosen.residency == selector.Resident {
-			x.placedAt = x.f.config.Now()
-			return e, nil
+		resident, unavailable, refusal := x.awaitPlacement(ctx, e, sel.version)
+		if refusal != nil {
+			return nil, refusal
 		}
-		resident, unavailable := x.awaitAdapter(ctx, e, sel.version)
 		if resident {
 			x.placedAt = x.f.config.Now()
 			return e, nil
@@ -116,6 +116,22 @@
 	}
 }
 
+// awaitPlacement waits until the adapter is resident at the chosen endpoint. If it returns neither that nor a refusal, an
+// endpoint has to be selected again.
+func (x *exchange) awaitPlacement(ctx context.Context, e *endpoint, version int64) (isResident, isUnavailable bool, _ *Refusal) {
+	switch x.chosen.residency {
+	case selector.Resident:
+		return true, false, nil
+	case selector.Absent:
+		if isStarted, refusal := x.awaitTransfer(ctx, e); !isStarted {
+			return false, false, refusal
+		}
+	case selector.Loading:
+	}
+	isResident, isUnavailable = x.awaitAdapter(ctx, e, version)
+	return isResident, isUnavailable, nil
+}
+
 func refuseNoCandidate(sel *criteria) *Refusal {
 	if sel.isLimited {
 		return refuseUnavailable("endpoint-limit", cmp.Or(sel.limitedFor, unavailableRetryAfter))
@@ -133,7 +149,11 @@
 	f.mu.Unlock()
 	defer func() {
 		f.mu.Lock()
-		e.usageOf(x.call.Model, version).waiting--
+		u := e.usageOf(x.call.Model, version)
+		u.waiting--
+		if u.waiting == 0 {
+			f.transfers.end(e, x.call.Model)
+		}
 		f.mu.Unlock()
 	}()
 	x.f.config.Demand(address)
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -123,12 +123,14 @@
 	versions      map[registrar.AdapterKey]int64
 	// crashes holds the crashes that takeCrashes has not returned yet.
 	crashes []endpointCrash
+	// transfers is locked after mu.
+	transfers *transfers
 }
 
 func newFleet(domain string, now func() time.Time) *fleet {
 	return &fleet{
 		domain: domain, now: now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
-		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{},
+		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, transfers: newTransfers(now),
 	}
 }
 
@@ -227,6 +229,7 @@
 		}
 		return ""
 	}
+	f.transfers.observe(e, &s)
 	if s.Adapters != nil && !s.IsDown {
 		now := f.now()
 		for key := range e.resident {
@@ -361,6 +364,9 @@
 		c.Residency = e.residency(sel.call.Model, sel.version)
 		c.HasFreeSlot, c.QueuedLoads = e.adapterSlot(sel.call.Model)
 		_, c.IsWarm = e.warm[sel.call.Model]
+		if c.Residency == selector.Absent && !c.IsWarm {
+			c.TransferWait = f.transfers.wait(e, sel.call.Model)
+		}
 	}
 	c.CachedPrefixTokens = e.cachedTokens(sel.call)
 	return c
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -255,6 +255,8 @@
 	firstEventAfter time.Duration
 	// admittedTokens is the number of tokens taken from the organisation's limit.
 	admittedTokens float64
+	// transfer is the request's place among those that wait for an adapter load to start.
+	transfer transferPlace
 	// held counts the memory of the endpoints' responses.
 	held heldAnswers
 	// fallback is an endpoint's error response, which is forwarded if no later attempt succeeds.
@@ -450,6 +452,9 @@
 	if !x.placedAt.IsZero() {
 		e = e.Dur("PlacedAfter", x.placedAt.Sub(x.arrivedAt)).Dur("FirstAfter", x.firstEventAfter)
 	}
+	if x.transfer.waited > 0 {
+		e = e.Dur("TransferWait", x.transfer.waited)
+	}
 	e.Msg("forwarder: request ended")
 }
 
@@ -518,10 +523,11 @@
 func (f *Forwarder) ChangedDemands() []EngineDemand { return f.fleet.dirtyDemands() }
 
 // Prune closes pooled connections to endpoints that are no longer listed, removes outdated usage records, expired evidence
-// on crashes and expired limits, and applies the current members. It must be called periodically.
+// on crashes and expired limits, and applies the current members and the engines that report. It must be called periodically.
 func (f *Forwarder) Prune() {
 	f.config.Pool.Prune(f.fleet.hasAddress)
 	f.fleet.pruneUsage()
 	f.quarantine.prune()
 	f.throttle.update(f.config.Members())
+	f.updateTransfers()
 }
--- /dev/null
+++ b/internal/forwarder/transfers_test.go
@@ -0,0 +1,130 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"geraniumladder/internal/forwarder"
+	"geraniumladder/internal/registrar"
+	"geraniumladder/internal/wire"
+)
+
+// engineState is the report of an engine that holds the base model and the given adapters.
+func engineState(e *endpoint, resident, loading []string, transfers ...wire.AdapterTransfer) wire.EngineState {
+	s := wire.EngineState{Address: e.listener.Addr().String(), Transfers: transfers, Adapters: &wire.EngineAdapters{
+		Resident: []wire.AdapterName{{Model: "base", Version: 1}},
+	}}
+	for _, name := range resident {
+		s.Adapters.Resident = append(s.Adapters.Resident, wire.AdapterName{Model: "base", Adapter: name, Version: 1})
+	}
+	for _, name := range loading {
+		s.Adapters.Loading = append(s.Adapters.Loading, wire.AdapterName{Model: "base", Adapter: name, Version: 1})
+	}
+	return s
+}
+
+func transferOf(name string, milliseconds int64) wire.AdapterTransfer {
+	return wire.AdapterTransfer{Model: "base", Adapter: name, Milliseconds: milliseconds}
+}
+
+// newBusyStore returns a fixture that has learned that the weight store carries four transfers, of which the second
+// engine has 16 in flight.
+func newBusyStore(t *testing.T, idle, busy *endpoint) (f *fixture, loading []string) {
+	t.Helper()
+	f = newFixture(t, idle, busy)
+	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
+		Version: 2,
+		Routes: []registrar.Route{{
+			Name: "model", Host: "h", Prefix: "/model/", Kind: registrar.Once, Timeout: 20 * time.Second, Attempts: 1, Open: true,
+			Targets: []registrar.Target{{Service: "s", Weight: 1}},
+		}},
+		Services: []registrar.Service{{Name: "s", Engine: &registrar.Engine{Batch: 4, AdapterSlots: 32}}},
+	}))
+	f.SetEndpoints([]registrar.Endpoint{idle.registered("s"), busy.registered("s")})
+	f.SetState(engineState(idle, nil, nil))
+	for i := range 32 {
+		name := fmt.Sprint("first", i)
+		f.SetState(engineState(busy, nil, []string{name}))
+		f.SetState(engineState(busy, nil, nil, transferOf(name, 100)))
+	}
+	var transfers []wire.AdapterTransfer
+	for i := range 16 {
+		loading = append(loading, fmt.Sprint("more", i))
+		transfers = append(transfers, transferOf(loading[i], 400))
+	}
+	f.SetState(engineState(busy, nil, loading))
+	f.SetState(engineState(busy, nil, loading, transfers...))
+	assert.Equal(t, fmt.Sprintf("%.3f", f.Transfers().Limit), "4.000")
+	assert.Equal(t, f.Transfers().InFlight, 16)
+	return f, loading
+}
+
+func isWaiting(f *fixture, n int) func(poll.LogT) poll.Result {
+	return func(poll.LogT) poll.Result {
+		if got := f.Transfers().Waiting; got != n {
+			return poll.Continue("%d loads wait", got)
+		}
+		return poll.Success()
+	}
+}
+
+func wantedAdapters(demands []forwarder.EngineDemand) (names []string) {
+	for _, d := range demands {
+		for _, w := range d.Message.Wanted {
+			names = append(names, w.Adapter)
+		}
+	}
+	return names
+}
+
+// TestLoadWaitsForTheBudget guards against loads that are ordered while the weight store is busy, and against loads that
+// are never ordered after that.
+func TestLoadWaitsForTheBudget(t *testing.T) {
+	idle, busy := newEndpoint(t, "idle", ok), newEndpoint(t, "busy", ok)
+	f, _ := newBusyStore(t, idle, busy)
+	end := make(chan reply)
+	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a1") }()
+	poll.WaitOn(t, isWaiting(f, 1), poll.WithTimeout(20*time.Second))
+	for range 30 {
+		assert.Equal(t, len(wantedAdapters(f.Demands(""))), 0)
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.SetState(engineState(busy, nil, nil))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if names := wantedAdapters(f.Demands("")); len(names) != 1 || names[0] != "a1" {
+			return poll.Continue("wanted: %v", names)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	assert.Equal(t, f.Transfers().InFlight, 1, "the load that no engine has reported yet")
+	for _, e := range []*endpoint{idle, busy} {
+		f.SetState(engineState(e, []string{"a1"}, nil))
+	}
+	got := <-end
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, f.Transfers().InFlight, 0)
+}
+
+// TestWaitingRequestUsesAnotherCopy guards against a request that waits for its own load although another entry's has
+// made the adapter resident in the meantime.
+func TestWaitingRequestUsesAnotherCopy(t *testing.T) {
+	idle, busy := newEndpoint(t, "idle", ok), newEndpoint(t, "busy", ok)
+	f, loading := newBusyStore(t, idle, busy)
+	end := make(chan reply)
+	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a1") }()
+	poll.WaitOn(t, isWaiting(f, 1), poll.WithTimeout(20*time.Second))
+	f.SetState(engineState(busy, []string{"a1"}, loading))
+	got := <-end
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, busy.count(), 1)
+	assert.Equal(t, f.Transfers().Waiting, 0)
+	assert.Equal(t, f.Transfers().InFlight, 16)
+	// A request that no load can serve before its deadline is refused at once.
+	got = f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a2", "Patience", "90")
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -188,8 +188,11 @@
 	failedReports    int
 	// pendingLoads maps the loads in progress to the times of their orders.
 	pendingLoads map[Adapter]time.Time
-	sentState    wire.EngineState
-	sentAt       time.Time
+	loadTimes    loadDurations
+	// transfers are the finished loads that no message has reported yet.
+	transfers []wire.AdapterTransfer
+	sentState wire.EngineState
+	sentAt    time.Time
 	// recipientCount is the number of entries in the last publishState, and adaptersSentAt is when the adapters were last
 	// included in a message.
 	recipientCount int
@@ -354,6 +357,7 @@
 	// The token is obtained before the first order needs it.
 	o.ensureFencingToken(ctx)
 	o.recordFinishedLoads(report)
+	o.loadTimes = o.loadTimes.withHeld(report)
 	sent := o.sendOrders(ctx, report, totalDemand)
 	if sent {
 		if updated, err := o.report(ctx); err == nil {
@@ -455,7 +459,7 @@
 		switch {
 		case isLoading || a.Name == "" && !isModel:
 		case isResident || a.Name == "":
-			o.config.ObserveLoad("ok", o.config.Now().Sub(at))
+			o.recordTransfer(a, o.config.Now().Sub(at))
 			delete(o.pendingLoads, a)
 		default:
 			o.config.ObserveLoad("failed", o.config.Now().Sub(at))
@@ -559,6 +563,7 @@
 		o.adaptersSentAt = now
 	}
 	if len(recipients) > 0 {
+		s.Transfers, o.transfers = o.transfers, nil
 		o.config.SendState(s, recipients)
 	}
 }
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -377,3 +377,35 @@
 		assert.Assert(t, out.states[0].Adapters != nil && out.states[0].Adapters.Loading != nil)
 	})
 }
+
+// TestTransfersAreReported guards against loads whose durations don't reach the entries or reach them twice, and against
+// fast loads from the engine's own memory that count as transfers from the weight store.
+func TestTransfersAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, out := newFakeEngine("base"), &recorder{}
+		o := newOrderer(e, out, func(context.Context) (int64, error) { return 1, nil })
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan error)
+		go func() { end <- o.Run(ctx) }()
+		for i, n := range []int{1, 2, 3, 4, 5, 6, 1} {
+			o.SetDemand(demand(int64(i), 0, n), "entry:1")
+			if i < 6 {
+				time.Sleep(250 * time.Millisecond)
+			} else {
+				time.Sleep(25 * time.Millisecond)
+			}
+			e.update(e.finishLoads)
+			time.Sleep(500 * time.Millisecond)
+		}
+		cancel()
+		assert.ErrorIs(t, <-end, context.Canceled)
+		var warm []bool
+		for _, s := range out.states {
+			for _, x := range s.Transfers {
+				warm = append(warm, x.IsWarm)
+				assert.Assert(t, x.IsWarm || x.Milliseconds >= 250 && x.Milliseconds < 300, "%d ms", x.Milliseconds)
+			}
+		}
+		assert.DeepEqual(t, warm, []bool{false, false, false, false, false, false, true})
+	})
+}
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -162,6 +162,9 @@
 			e.sharer.RequestMessage()
 		},
 	})
+	if err := registerTransferGauges(instruments, e.forwarder); err != nil {
+		return nil, err
+	}
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: operatorsWait(c.Tuning), RepeatAfter: readRepeatTime,
 		OnChange: e.setOperators, Now: time.Now, Log: c.Log,
@@ -189,6 +192,18 @@
 	return e, nil
 }
 
+// registerTransferGauges exports the entry's view of the adapter loads from the weight store.
+func registerTransferGauges(m *meter.Meter, f *forwarder.Forwarder) error {
+	return errors.Join(
+		m.Gauge("geraniumladder.transfer.limit", "{load}", "Adapter loads that the weight store carries at full speed; 0 while unknown.",
+			func() float64 { return f.Transfers().Limit }),
+		m.Gauge("geraniumladder.transfers.in.flight", "{load}", "Adapter loads from the weight store in flight over all engines.",
+			func() float64 { return float64(f.Transfers().InFlight) }),
+		m.Gauge("geraniumladder.transfers.waiting", "{load}", "Adapter loads that wait at this entry for the weight store.",
+			func() float64 { return float64(f.Transfers().Waiting) }),
+	)
+}
+
 func endpointsPollInterval(t Tuning) time.Duration {
 	return time.Duration(float64(t.LeaveTime) / pollsPerLeaveTime)
 }
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -238,6 +238,18 @@
 	Version int64  `json:"Version"`
 }
 
+// AdapterTransfer defines model for AdapterTransfer.
+type AdapterTransfer struct {
+	Adapter string `json:"Adapter"`
+
+	// IsWarm So fast that the engine had a copy in its own memory or on its disk.
+	IsWarm bool `json:"IsWarm"`
+
+	// Milliseconds Time from the order to the report in which the engine held the adapter.
+	Milliseconds int64  `json:"Milliseconds"`
+	Model        string `json:"Model"`
+}
+
 // ClaimRow Claim of a call with an idempotency key; row claim, ORGANISATION/KEY of the table.
 type ClaimRow struct {
 	// Address Address of the sidecar.
@@ -379,6 +391,9 @@
 	Sequence    int64 `json:"Sequence"`
 	TotalTokens int64 `json:"TotalTokens"`
 
+	// Transfers Adapter loads that have ended well since the last message.
+	Transfers []AdapterTransfer `json:"Transfers,omitempty"`
+
 	// UnreadTokens Sum of what the entries last told.
 	UnreadTokens int64 `json:"UnreadTokens"`
 
--- /dev/null
+++ b/pkg/budgeter/capacity.go
@@ -0,0 +1,117 @@
+package budgeter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// congestionRatio is the ratio of a transfer's duration to the base duration from which the transfer counts as slowed
+	// by others. Durations are measured to about 20 ms, which is 8% of a load of 250 ms.
+	congestionRatio = 1.15
+	// firstWindow is the number of transfers by which congestion is found, and firstCongested the number of them that
+	// must be slowed. A single slow machine must not start the limit.
+	firstWindow, firstCongested = 16, 6
+	// gain is the weight of one transfer in the limit. With 64 transfers a second the limit follows within a second.
+	gain = 1.0 / 16
+	// rise is the increase of the limit by one transfer that was not slowed. It raises the limit by one a second, so that
+	// the limit stays near the number at which slowing is measured.
+	rise = 1.0 / 64
+	// bindingFraction is the part of the limit that must have been in flight for an unslowed transfer to raise it.
+	bindingFraction = 0.8
+	// blockSize is the number of transfers of which baseIndex, counted from the shortest, is taken as the duration at full
+	// speed, because a few durations may have been measured wrongly.
+	blockSize, baseIndex = 32, 3
+	// baseAge is how long such a duration counts. The shortest that counts is the base, which has to outlast the
+	// congestion that it is compared with. maxFloors bounds their number.
+	baseAge   = time.Minute
+	maxFloors = 64
+)
+
+// sample is a finished transfer.
+type sample struct {
+	took time.Duration
+	// inFlight is the mean number of transfers in flight during this one.
+	inFlight float64
+}
+
+// floor is the duration at full speed according to one block of transfers.
+type floor struct {
+	took, at time.Duration
+}
+
+// capacity is the learned number of transfers that the store carries at full speed. It is an immutable value.
+type capacity struct {
+	minLimit float64
+	// limit is 0 until congestion has been measured.
+	limit float64
+	// base is the duration of a transfer at full speed, and 0 while it is unknown.
+	base time.Duration
+	// recent holds the last firstWindow transfers while limit is 0.
+	recent []sample
+	// block holds the durations since the last full block, and floors are those of full blocks, oldest first.
+	block  []time.Duration
+	floors []floor
+}
+
+// withSample records a finished transfer.
+func (c capacity) withSample(s sample, now time.Duration) capacity {
+	c = c.withDuration(s.took, now)
+	base := c.base
+	if base == 0 || s.inFlight < 1 {
+		return c
+	}
+	if c.limit == 0 {
+		return c.withFirst(s, base)
+	}
+	switch {
+	case isCongested(s, base) && s.inFlight >= c.limit/2:
+		// A slow transfer with few in flight shows a slow engine and says nothing of the store.
+		c.limit += gain * (max(estimate(s, base), c.limit/2) - c.limit)
+	case !isCongested(s, base) && s.inFlight >= bindingFraction*c.limit:
+		c.limit += rise
+	}
+	c.limit = max(c.limit, c.minLimit)
+	return c
+}
+
+// withFirst sets the limit once enough of the last transfers were slowed.
+func (c capacity) withFirst(s sample, base time.Duration) capacity {
+	c.recent = append(slices.Clone(c.recent[max(0, len(c.recent)-firstWindow+1):]), s)
+	var estimates []float64
+	for _, r := range c.recent {
+		if isCongested(r, base) && r.inFlight >= c.minLimit {
+			estimates = append(estimates, estimate(r, base))
+		}
+	}
+	if len(estimates) >= firstCongested {
+		slices.Sort(estimates)
+		c.limit, c.recent = max(c.minLimit, estimates[len(estimates)/2]), nil
+	}
+	return c
+}
+
+func isCongested(s sample, base time.Duration) bool {
+	return float64(s.took) > congestionRatio*float64(base)
+}
+
+// estimate returns the number of transfers that the store carries at full speed, from one that was slowed: beyond that
+// number each takes proportionally longer.
+func estimate(s sample, base time.Duration) float64 {
+	return s.inFlight * float64(base) / float64(s.took)
+}
+
+// withDuration adds the duration to the current block.
+func (c capacity) withDuration(took, now time.Duration) capacity {
+	c.block = append(slices.Clip(c.block), took)
+	if len(c.block) < blockSize {
+		return c
+	}
+	slices.Sort(c.block)
+	floors := append(slices.Clone(c.floors[max(0, len(c.floors)-maxFloors+1):]), floor{took: c.block[baseIndex], at: now})
+	c.floors = slices.DeleteFunc(floors, func(f floor) bool { return now-f.at > baseAge })
+	c.base = slices.MinFunc(c.floors, func(x, y floor) int { return cmp.Compare(x.took, y.took) }).took
+	c.block = nil
+	return c
+}
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -55,6 +55,8 @@
 	HasFreeSlot bool
 	// QueuedLoads is the number of adapters queued for loading.
 	QueuedLoads int
+	// TransferWait is the expected wait until a load that is not warm may start, because of other loads in the fleet.
+	TransferWait time.Duration
 	// HomeRank is the endpoint's rank for the adapter by rendezvous hashing, starting at 0.
 	HomeRank int
 	// FailureRate is the fraction of recent requests that failed, from 0 to 1.
@@ -205,7 +207,7 @@
 			expected += c.WarmLoadTime
 			cost += c.WarmLoadTime
 		} else {
-			expected += c.LoadTime
+			expected += c.LoadTime + e.TransferWait
 			cost += c.LoadPenalty + time.Duration(e.HomeRank)*c.HomeRankPenalty
 		}
 		expected += c.LoadTime * time.Duration(e.QueuedLoads)
