Learn which adapters an engine loads without the weight store

Entries took the 44 adapters that an engine held last for fast to load, whatever the engine. On engines that keep fewer copies, requests were sent there to wait for full loads, and a restart made all copies count as lost although those on disk remain.

The number is now learned for each service from the loads that the sidecars report as fast or not, against the order in which the engine held its adapters (budgeter.Copies). A restarted engine's copies are kept until a load shows that they are gone. Loads from copies don't wait for the transfer budget.

--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -10,6 +10,7 @@
 
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/budgeter"
 	"geraniumladder/pkg/detector"
 	"geraniumladder/pkg/placer"
 	"geraniumladder/pkg/selector"
@@ -32,8 +33,9 @@
 	// maxIdleUsage is the number of usage records of one endpoint above which those of idle adapters that aren't
 	// resident are dropped.
 	maxIdleUsage = 64
-	// maxWarmAdapters is the number of adapters, resident ones included, that an engine is expected to load fast.
-	maxWarmAdapters = 44
+	// initialCopyCount is the number of adapters, resident ones included, that an engine is expected to load fast until
+	// loads have shown another number.
+	initialCopyCount = 44
 )
 
 // incarnation identifies one incarnation of an endpoint. An endpoint may restart under the same ID.
@@ -72,8 +74,10 @@
 	// inUse holds the resident adapters that requests of any entry use, according to the sidecar's last report.
 	inUse map[registrar.AdapterKey]bool
 	usage map[registrar.AdapterKey]*adapterUsage
-	// warm maps recently resident adapters, which the engine loads much faster, to the time when they were last seen.
-	warm map[registrar.AdapterKey]time.Time
+	// copies holds recently resident adapters, of which the engine loads the last copyCount much faster. copyCount is
+	// shared by the engines of the service.
+	copies    budgeter.Copies[registrar.AdapterKey]
+	copyCount *budgeter.CopyCount
 	// open is the number of this entry's open requests at the endpoint. sentSinceReport is the number of requests sent
 	// since the sidecar's last report.
 	open, sentSinceReport int
@@ -121,6 +125,8 @@
 	byService     map[string][]*endpoint
 	byAddress     map[string]*endpoint
 	versions      map[registrar.AdapterKey]int64
+	// copyCounts holds the learned number of fast loading adapters by service.
+	copyCounts map[string]*budgeter.CopyCount
 	// crashes holds the crashes that takeCrashes has not returned yet.
 	crashes []endpointCrash
 	// transfers is locked after mu.
@@ -130,7 +136,7 @@
 func newFleet(domain string, now func() time.Time) *fleet {
 	return &fleet{
 		domain: domain, now: now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
-		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, transfers: newTransfers(now),
+		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, transfers: newTransfers(now), copyCounts: map[string]*budgeter.CopyCount{},
 	}
 }
 
@@ -139,7 +145,7 @@
 func (f *fleet) setEndpoints(list []registrar.Endpoint, c *registrar.Configuration) (superseded []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	old := f.byIncarnation
+	old, oldByAddress := f.byIncarnation, f.byAddress
 	f.byIncarnation, f.byService, f.byAddress = map[incarnation]*endpoint{}, map[string][]*endpoint{}, map[string]*endpoint{}
 	for _, r := range list {
 		key := incarnation{id: r.ID, born: r.Born}
@@ -147,9 +153,12 @@
 		if e == nil {
 			e = &endpoint{
 				usage: map[registrar.AdapterKey]*adapterUsage{}, resident: map[registrar.AdapterKey]int64{},
-				loading: map[registrar.AdapterKey]int64{}, warm: map[registrar.AdapterKey]time.Time{}, cached: map[prefixKey]time.Time{}, changed: make(chan struct{}),
+				loading: map[registrar.AdapterKey]int64{}, copyCount: f.copyCount(r.Service), cached: map[prefixKey]time.Time{}, changed: make(chan struct{}),
 				attempts: map[*attempt]struct{}{}, key: key.String(),
 			}
+			if previous := oldByAddress[r.Address]; previous != nil {
+				e.copies = previous.copies.WithRestart()
+			}
 		}
 		if e.stateAt.IsZero() || f.now().Sub(e.stateAt) > stateTTL {
 			e.resident = heldAdapters(r.Models)
@@ -230,13 +239,10 @@
 		return ""
 	}
 	f.transfers.observe(e, &s)
+	e.recordLoads(s.Transfers)
 	if s.Adapters != nil && !s.IsDown {
-		now := f.now()
-		for key := range e.resident {
-			e.warm[key] = now
-		}
 		e.resident, e.loading = adapterSet(s.Adapters.Resident), adapterSet(s.Adapters.Loading)
-		e.evictOldestWarm()
+		e.copies = e.copies.WithHeld(e.resident)
 		e.inUse = map[registrar.AdapterKey]bool{}
 		for _, a := range s.Adapters.Resident {
 			if a.IsUsed {
@@ -263,18 +269,28 @@
 	e.changed = make(chan struct{})
 }
 
-// evictOldestWarm removes the warm adapters that were seen least recently until maxWarmAdapters remain.
-func (e *endpoint) evictOldestWarm() {
-	for len(e.warm) > maxWarmAdapters {
-		var oldest registrar.AdapterKey
-		var at time.Time
-		for key, seen := range e.warm {
-			if at.IsZero() || seen.Before(at) {
-				oldest, at = key, seen
-			}
-		}
-		delete(e.warm, oldest)
+// copyCount returns the number of fast loading adapters of the service's engines.
+func (f *fleet) copyCount(service string) *budgeter.CopyCount {
+	n := f.copyCounts[service]
+	if n == nil {
+		n = new(budgeter.CopyCount)
+		*n = initialCopyCount
+		f.copyCounts[service] = n
 	}
+	return n
+}
+
+// recordLoads learns from finished loads of which adapters the engine has copies.
+func (e *endpoint) recordLoads(list []wire.AdapterTransfer) {
+	for _, x := range list {
+		e.copies, *e.copyCount = e.copies.WithLoad(registrar.AdapterKey{Model: x.Model, Adapter: x.Adapter}, x.IsWarm, *e.copyCount)
+	}
+}
+
+// isWarm reports whether the engine is expected to load the adapter without the weight store.
+func (e *endpoint) isWarm(key registrar.AdapterKey) bool {
+	rank, ok := e.copies.Rank(key)
+	return ok && e.copyCount.Includes(rank)
 }
 
 func adapterSet(names []wire.AdapterName) map[registrar.AdapterKey]int64 {
@@ -363,7 +379,7 @@
 	if sel.call.Model.Adapter != "" {
 		c.Residency = e.residency(sel.call.Model, sel.version)
 		c.HasFreeSlot, c.QueuedLoads = e.adapterSlot(sel.call.Model)
-		_, c.IsWarm = e.warm[sel.call.Model]
+		c.IsWarm = e.isWarm(sel.call.Model)
 		if c.Residency == selector.Absent && !c.IsWarm {
 			c.TransferWait = f.transfers.wait(e, sel.call.Model)
 		}
--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -75,7 +75,7 @@
 	case s.Adapters != nil:
 		var loading []registrar.AdapterKey
 		for key := range adapterSet(s.Adapters.Loading) {
-			if _, isWarm := e.warm[key]; !isWarm && key.Adapter != "" {
+			if key.Adapter != "" && !e.isWarm(key) {
 				loading = append(loading, key)
 			}
 			t.wake(key)
@@ -184,7 +184,7 @@
 func (x *exchange) awaitTransfer(ctx context.Context, e *endpoint) (isStarted bool, _ *Refusal) {
 	f, t := x.f.fleet, x.f.fleet.transfers
 	f.mu.Lock()
-	_, isWarm := e.warm[x.call.Model]
+	isWarm := e.isWarm(x.call.Model)
 	_, holdsModel := e.resident[registrar.AdapterKey{Model: x.call.Model.Model}]
 	f.mu.Unlock()
 	if isWarm || !holdsModel {
--- a/internal/forwarder/transfers_test.go
+++ b/internal/forwarder/transfers_test.go
@@ -128,3 +128,34 @@
 	assert.Equal(t, got.status, 503)
 	assert.Assert(t, got.header.Get("Retry-After") != "")
 }
+
+// TestWarmLoadDoesNotWait guards against loads from an engine's own memory that wait for the weight store, also after the
+// engine has restarted, and against relying on copies that a restart has lost.
+func TestWarmLoadDoesNotWait(t *testing.T) {
+	idle, busy := newEndpoint(t, "idle", ok), newEndpoint(t, "busy", ok)
+	f, _ := newBusyStore(t, idle, busy)
+	restarted := idle.registered("s")
+	restarted.Born = 7
+	for _, restart := range []bool{false, true} {
+		f.SetState(engineState(idle, []string{"w1", "w2"}, nil))
+		f.SetState(engineState(idle, nil, nil))
+		if restart {
+			f.SetEndpoints([]registrar.Endpoint{restarted, busy.registered("s")})
+			f.SetState(engineState(idle, nil, nil))
+		}
+		end := make(chan reply)
+		go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/w1") }()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if names := wantedAdapters(f.Demands("")); len(names) != 1 {
+				return poll.Continue("wanted: %v", names)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(20*time.Second))
+		f.SetState(engineState(idle, []string{"w1"}, nil, transferOf("w1", 100)))
+		got := <-end
+		assert.Equal(t, got.status, 200)
+	}
+	f.SetState(engineState(idle, nil, nil))
+	go f.sendCtx(t.Context(), "/model/", "", "Uses", "base/w2")
+	poll.WaitOn(t, isWaiting(f, 1), poll.WithTimeout(20*time.Second))
+}
