Give up adapter loads that don't begin

A granted load whose engine has no free slot kept a place of the transfer budget for up to 1.2 s, and its request waited although other engines could have taken it.

While the number of loads is limited, a request selects an endpoint again if its load has not begun after 150 ms, and the demand on the first engine is withdrawn at once. Without a limit the wait is as before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -22,6 +22,9 @@
 	// adapterLoadTimeout bounds the wait for an adapter at one endpoint before another endpoint is considered. It is
 	// several times the duration of an uncontended load.
 	adapterLoadTimeout = 1200 * time.Millisecond
+	// loadStartTimeout bounds the wait for the start of a load while the transfer budget is limited, because a load that
+	// waits for a slot keeps a place from others. A start is seen within about 50 ms, or 110 ms if a datagram is lost.
+	loadStartTimeout = 150 * time.Millisecond
 	// loadRetryDelay is the delay before endpoints are tried again that all became unavailable during the wait for an
 	// adapter. It is short compared with a load.
 	loadRetryDelay = 50 * time.Millisecond
@@ -140,13 +143,14 @@
 }
 
 // awaitAdapter requests the adapter from the endpoint's sidecar and waits until it is resident, the endpoint becomes
-// unavailable, or adapterLoadTimeout expires.
+// unavailable, or adapterLoadTimeout expires, or the load doesn't begin within loadStartTimeout.
 func (x *exchange) awaitAdapter(ctx context.Context, e *endpoint, version int64) (isResident, isUnavailable bool) {
 	f := x.f.fleet
 	f.mu.Lock()
 	e.usageOf(x.call.Model, version).waiting++
 	address := e.Address
 	f.mu.Unlock()
+	isLimited := f.transfers.isLimited()
 	defer func() {
 		f.mu.Lock()
 		u := e.usageOf(x.call.Model, version)
@@ -154,9 +158,19 @@
 		if u.waiting == 0 {
 			f.transfers.end(e, x.call.Model)
 		}
+		isWithdrawn := isLimited && e.residency(x.call.Model, version) == selector.Absent
 		f.mu.Unlock()
+		if isWithdrawn {
+			x.f.config.Demand(address)
+		}
 	}()
 	x.f.config.Demand(address)
+	var isNotBegun <-chan time.Time
+	if isLimited {
+		start := time.NewTimer(loadStartTimeout)
+		defer start.Stop()
+		isNotBegun = start.C
+	}
 	timeout := time.NewTimer(adapterLoadTimeout)
 	defer timeout.Stop()
 	resend := time.NewTicker(demandResendInterval)
@@ -164,7 +178,9 @@
 	for {
 		f.mu.Lock()
 		changed := e.changed
-		resident := e.residency(x.call.Model, version) == selector.Resident
+		residency := e.residency(x.call.Model, version)
+		resident := residency == selector.Resident
+		_, holdsModel := e.resident[registrar.AdapterKey{Model: x.call.Model.Model}]
 		unavailable := e.state.IsDown || e.liveness == detector.Silent || f.isGone(e)
 		f.mu.Unlock()
 		if resident || unavailable {
@@ -172,6 +188,10 @@
 		}
 		select {
 		case <-changed:
+		case <-isNotBegun:
+			if residency == selector.Absent && holdsModel {
+				return false, false
+			}
 		case <-resend.C:
 			x.f.config.Demand(address)
 		case <-timeout.C:
--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -129,6 +129,13 @@
 	return t.state.Wait(adapterLoad{Adapter: key, Engine: e.key})
 }
 
+// isLimited reports whether the number of loads in flight is limited.
+func (t *transfers) isLimited() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.Limit() > 0
+}
+
 // request reports whether the load may start now or has been started by this entry. Otherwise the request is queued, and
 // the channel is closed when it should select an endpoint again.
 func (t *transfers) request(l adapterLoad, r budgeter.Request) (wake <-chan struct{}, isStarted bool) {
--- a/internal/forwarder/transfers_test.go
+++ b/internal/forwarder/transfers_test.go
@@ -159,3 +159,32 @@
 	go f.sendCtx(t.Context(), "/model/", "", "Uses", "base/w2")
 	poll.WaitOn(t, isWaiting(f, 1), poll.WithTimeout(20*time.Second))
 }
+
+// TestLoadThatDoesNotBeginIsGivenUp guards against a load that keeps a place of the budget while it waits for a slot, and
+// against a request that waits for it although another engine has the adapter.
+func TestLoadThatDoesNotBeginIsGivenUp(t *testing.T) {
+	idle, busy := newEndpoint(t, "idle", ok), newEndpoint(t, "busy", ok)
+	f, _ := newBusyStore(t, idle, busy)
+	f.SetState(engineState(busy, nil, nil))
+	end := make(chan reply)
+	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a1", "Patience", "1000") }()
+	chosen := ""
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, d := range f.Demands("") {
+			if len(d.Message.Wanted) > 0 {
+				chosen = d.Address
+				return poll.Success()
+			}
+		}
+		return poll.Continue("not wanted yet")
+	}, poll.WithTimeout(20*time.Second))
+	other := idle
+	if chosen == idle.listener.Addr().String() {
+		other = busy
+	}
+	f.SetState(engineState(other, []string{"a1"}, nil))
+	got := <-end
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, other.count(), 1)
+	assert.Equal(t, f.Transfers().InFlight, 0)
+}
