--- a/pkg/selector/selector_test.go
+++ b/pkg/selector/selector_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -121,3 +122,20 @@
 		assert.Assert(t, counts[i] > 60, "%v", counts)
 	}
 }
+
+// TestBusyStoreFavoursCopies guards against loads from a busy weight store that take longer than the queue of an engine
+// with the adapter, or than a load from an engine's own memory.
+func TestBusyStoreFavoursCopies(t *testing.T) {
+	absent := selector.Candidate{Batch: 4, IsSameDomain: true, HasFreeSlot: true, FreeTokens: 1e9}
+	queued, warm := absent, absent
+	queued.Residency, queued.UnreadTokens = selector.Resident, 40000
+	warm.IsWarm, warm.UnreadTokens, warm.TransferWait = true, 40000, time.Minute
+	for _, wait := range []time.Duration{0, time.Second} {
+		absent.TransferWait = wait
+		for _, other := range []selector.Candidate{queued, warm} {
+			choice, ok := selector.Choose(config, selector.Request{}, []selector.Candidate{absent, other}, rand.New(rand.NewPCG(1, 2)))
+			assert.Assert(t, ok)
+			assert.Equal(t, choice.Index == 1, wait > 0)
+		}
+	}
+}
