--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -22,6 +22,9 @@
 	// adapterLoadTimeout bounds the wait for an adapter at one endpoint before another endpoint is considered. It is
 	// several times the duration of an uncontended load.
 	adapterLoadTimeout = 1200 * time.Millisecond
+	// loadStartTimeout bounds the wait for the start of a load while the transfer budget is limited, because a load that
+	// waits for a slot keeps a place from others. A start is seen within about 50 ms, or 110 ms if a datagram is lost.
+	loadStartTimeout = 150 * time.Millisecond
 	// loadRetryDelay is the delay before endpoints are tried again that all became unavailable during the wait for an
 	// adapter. It is short compared with a load.
 	loadRetryDelay = 50 * time.Millisecond
@@ -75,6 +78,7 @@
 	if len(x.sentTo) >= x.route.Attempts {
 		sel.only = x.sentTo
 	}
+	defer x.leaveTransferQueue()
 	for {
 		if ctx.Err() != nil || x.deadline.Sub(x.f.config.Now()) < minRemaining {
 			return nil, refuseUnavailable("timeout-waiting", 0)
@@ -96,11 +100,10 @@
 			continue
 		}
 		x.chosen = chosen
-		if chosen.residency == selector.Resident {
-			x.placedAt = x.f.config.Now()
-			return e, nil
+		resident, unavailable, refusal := x.awaitPlacement(ctx, e, sel.version)
+		if refusal != nil {
+			return nil, refusal
 		}
-		resident, unavailable := x.awaitAdapter(ctx, e, sel.version)
 		if resident {
 			x.placedAt = x.f.config.Now()
 			return e, nil
@@ -116,6 +119,22 @@
 	}
 }
 
+// awaitPlacement waits until the adapter is resident at the chosen endpoint. If it returns neither that nor a refusal, an
+// endpoint has to be selected again.
+func (x *exchange) awaitPlacement(ctx context.Context, e *endpoint, version int64) (isResident, isUnavailable bool, _ *Refusal) {
+	switch x.chosen.residency {
+	case selector.Resident:
+		return true, false, nil
+	case selector.Absent:
+		if isStarted, refusal := x.awaitTransfer(ctx, e); !isStarted {
+			return false, false, refusal
+		}
+	case selector.Loading:
+	}
+	isResident, isUnavailable = x.awaitAdapter(ctx, e, version)
+	return isResident, isUnavailable, nil
+}
+
 // refuseNoCandidate returns a refusal, or nil if endpoints that became unavailable should be tried again.
 func (x *exchange) refuseNoCandidate(sel *criteria) *Refusal {
 	if refusal := x.refuseClosed(); refusal != nil {
@@ -133,19 +152,34 @@
 }
 
 // awaitAdapter requests the adapter from the endpoint's sidecar and waits until it is resident, the endpoint becomes
-// unavailable or gets no more requests, or adapterLoadTimeout expires.
+// unavailable or gets no more requests, adapterLoadTimeout expires, or the load doesn't begin within loadStartTimeout.
 func (x *exchange) awaitAdapter(ctx context.Context, e *endpoint, version int64) (isResident, isUnavailable bool) {
 	f := x.f.fleet
 	f.mu.Lock()
 	e.usageOf(x.call.Model, version).waiting++
 	address := e.Address
 	f.mu.Unlock()
+	isLimited := f.transfers.isLimited()
 	defer func() {
 		f.mu.Lock()
-		e.usageOf(x.call.Model, version).waiting--
+		u := e.usageOf(x.call.Model, version)
+		u.waiting--
+		if u.waiting == 0 {
+			f.transfers.end(e, x.call.Model)
+		}
+		isWithdrawn := isLimited && e.residency(x.call.Model, version) == selector.Absent
 		f.mu.Unlock()
+		if isWithdrawn {
+			x.f.config.Demand(address)
+		}
 	}()
 	x.f.config.Demand(address)
+	var isNotBegun <-chan time.Time
+	if isLimited {
+		start := time.NewTimer(loadStartTimeout)
+		defer start.Stop()
+		isNotBegun = start.C
+	}
 	timeout := time.NewTimer(adapterLoadTimeout)
 	defer timeout.Stop()
 	resend := time.NewTicker(demandResendInterval)
@@ -153,7 +187,9 @@
 	for {
 		f.mu.Lock()
 		changed := e.changed
-		resident := e.residency(x.call.Model, version) == selector.Resident
+		residency := e.residency(x.call.Model, version)
+		resident := residency == selector.Resident
+		_, holdsModel := e.resident[registrar.AdapterKey{Model: x.call.Model.Model}]
 		unavailable := e.state.IsDown || e.liveness == detector.Silent
 		gone := f.isGone(e)
 		f.mu.Unlock()
@@ -166,6 +202,10 @@
 		}
 		select {
 		case <-changed:
+		case <-isNotBegun:
+			if residency == selector.Absent && holdsModel {
+				return false, false
+			}
 		case <-resend.C:
 			x.f.config.Demand(address)
 		case <-timeout.C:
