The state that a wait for an adapter depends on is read in one place

It now reads the endpoint's state through fleet.adapterWait; the tests of the package pass unchanged.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -185,25 +185,18 @@
 	resend := time.NewTicker(demandResendInterval)
 	defer resend.Stop()
 	for {
-		f.mu.Lock()
-		changed := e.changed
-		residency := e.residency(x.call.Model, version)
-		resident := residency == selector.Resident
-		_, holdsModel := e.resident[registrar.AdapterKey{Model: x.call.Model.Model}]
-		unavailable := e.state.IsDown || e.liveness == detector.Silent
-		gone := f.isGone(e)
-		f.mu.Unlock()
-		if gone {
+		w := f.adapterWait(e, x.call.Model, version)
+		switch {
+		case w.isGone:
 			// It is no candidate any more, so the request need not avoid it.
 			return false, false
-		}
-		if resident || unavailable {
-			return resident && !unavailable, unavailable
+		case w.isUnavailable, w.isResident:
+			return !w.isUnavailable, w.isUnavailable
 		}
 		select {
-		case <-changed:
+		case <-w.changed:
 		case <-isNotBegun:
-			if residency == selector.Absent && holdsModel {
+			if !w.hasBegun {
 				return false, false
 			}
 		case <-resend.C:
@@ -216,6 +209,26 @@
 	}
 }
 
+// adapterWait is the state of an endpoint for a request that waits for an adapter there.
+type adapterWait struct {
+	// changed is closed when the state changes.
+	changed                           <-chan struct{}
+	isGone, isUnavailable, isResident bool
+	// hasBegun means that the adapter is being loaded, or that its base model must be loaded first.
+	hasBegun bool
+}
+
+func (f *fleet) adapterWait(e *endpoint, key registrar.AdapterKey, version int64) adapterWait {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	residency := e.residency(key, version)
+	_, holdsModel := e.resident[registrar.AdapterKey{Model: key.Model}]
+	return adapterWait{
+		changed: e.changed, isGone: f.isGone(e), isUnavailable: e.state.IsDown || e.liveness == detector.Silent,
+		isResident: residency == selector.Resident, hasBegun: residency != selector.Absent || !holdsModel,
+	}
+}
+
 // send sends the request to the endpoint and handles its response.
 func (x *exchange) send(ctx context.Context, e *endpoint) (*Refusal, bool) {
 	f := x.f.fleet
