--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -156,14 +156,7 @@
 		key := incarnation{id: r.ID, born: r.Born}
 		e := old[key]
 		if e == nil {
-			e = &endpoint{
-				usage: map[registrar.AdapterKey]*adapterUsage{}, resident: map[registrar.AdapterKey]int64{},
-				loading: map[registrar.AdapterKey]int64{}, copyCount: f.copyCount(r.Service), cached: map[prefixKey]time.Time{}, changed: make(chan struct{}),
-				attempts: map[*attempt]struct{}{}, key: key.String(),
-			}
-			if previous := oldByAddress[r.Address]; previous != nil {
-				e.copies = previous.copies.WithRestart()
-			}
+			e = f.newEndpoint(key, r.Service, oldByAddress[r.Address])
 		}
 		if e.stateAt.IsZero() || f.now().Sub(e.stateAt) > stateTTL {
 			e.resident = heldAdapters(r.Models)
@@ -185,16 +178,37 @@
 			superseded = append(superseded, e.ID)
 		}
 	}
+	f.forgetUnlisted(old)
+	return superseded
+}
+
+// newEndpoint returns the view of a new incarnation. previous is the one that had the address, or nil.
+func (f *fleet) newEndpoint(key incarnation, service string, previous *endpoint) *endpoint {
+	e := &endpoint{
+		usage: map[registrar.AdapterKey]*adapterUsage{}, resident: map[registrar.AdapterKey]int64{},
+		loading: map[registrar.AdapterKey]int64{}, copyCount: f.copyCount(service), cached: map[prefixKey]time.Time{}, changed: make(chan struct{}),
+		attempts: map[*attempt]struct{}{}, key: key.String(),
+	}
+	if previous != nil {
+		e.copies = previous.copies.WithRestart()
+	}
+	return e
+}
+
+// forgetUnlisted marks the incarnations that are no longer listed as ended if a later one has their address, and drops the
+// reports of those whose successor can't be told from them.
+func (f *fleet) forgetUnlisted(old map[incarnation]*endpoint) {
 	for key, e := range old {
-		if next := f.byAddress[e.Address]; f.byIncarnation[key] == nil && next != nil && next.Born > e.Born {
+		if f.byIncarnation[key] != nil {
+			continue
+		}
+		if next := f.byAddress[e.Address]; next != nil && next.Born > e.Born {
 			f.markEnded(e)
 		}
-		if key.born == 0 && f.byIncarnation[key] == nil {
-			// The next run under this ID has the same key.
+		if key.born == 0 {
 			f.reports.forget(e.key)
 		}
 	}
-	return superseded
 }
 
 // supersede marks the endpoint as superseded and reports whether it was not marked before.
