Evacuation of a failure domain in standalone mode

Operators of standalone fleets had no way to take the traffic from a failure domain; they had to stop the endpoints one by one, which ends what runs there.

Revisions already have the poll, the copies between entries, the proof of freshness for entries that are cut off, and the confirmation that the order needs. Entries leave the endpoints of an evacuated domain out of the choice (placer.View.WithEvacuated), check again before the send, and end waits for a load there; running requests are left alone. If only evacuated endpoints are live, the request is rejected at once with the code evacuated. status shows the evacuated domains of each entry.

The check right before the send was not seen to fail a test: the test would need an order that arrives between the claim of a call and its send.

--- a/internal/applier/folder.go
+++ b/internal/applier/folder.go
@@ -388,6 +388,7 @@
 	writeChanges(&b, "adapter", d.Delta.Adapters)
 	writeChanges(&b, "route", d.Delta.Routes)
 	writeChanges(&b, "objective", d.Delta.Objectives)
+	writeChanges(&b, "evacuation", d.Delta.Evacuations)
 	return b.String()
 }
 
--- a/internal/inspector/commands.go
+++ b/internal/inspector/commands.go
@@ -134,7 +134,7 @@
 		return err
 	}
 	entries := tablewriter.NewTable(out)
-	entries.Header("VM", "Domain", "State", "Revision", "Proof age", "Open", "Epoch", "Endpoints live")
+	entries.Header("VM", "Domain", "State", "Revision", "Proof age", "Open", "Epoch", "Endpoints live", "Evacuated domains")
 	sidecars := tablewriter.NewTable(out)
 	sidecars.Header("VM", "Domain", "State", "Running", "Queued", "Pinned", "Fence", "Revision", "Resident")
 	limits := tablewriter.NewTable(out)
@@ -148,7 +148,7 @@
 			s := p.Sidecar
 			err = sidecars.Append(p.VM, p.FailureDomain, s.State, s.Load.Running, s.Load.QueuedRequests, s.Pinned, s.Fence, s.Revision, strings.Join(s.Resident, " "))
 		case p.Role == string(wire.DescriptorRoleEntry):
-			err = entries.Append(p.VM, p.FailureDomain, "no answer", "", "", "", "", "")
+			err = entries.Append(p.VM, p.FailureDomain, "no answer", "", "", "", "", "", "")
 		default:
 			err = sidecars.Append(p.VM, p.FailureDomain, "no answer", "", "", "", "", "", "")
 		}
@@ -187,7 +187,7 @@
 			return err
 		}
 	}
-	return entries.Append(p.VM, p.FailureDomain, p.Entry.State, p.Entry.Revision, proofAge, p.Entry.Open, p.Entry.Epoch, liveEndpoints)
+	return entries.Append(p.VM, p.FailureDomain, p.Entry.State, p.Entry.Revision, proofAge, p.Entry.Open, p.Entry.Epoch, liveEndpoints, strings.Join(p.Entry.Evacuated, " "))
 }
 
 func revisionText(revision int64) string {
--- a/internal/merger/decode.go
+++ b/internal/merger/decode.go
@@ -71,11 +71,12 @@
 	adapters      []parsed[Adapter]
 	routes        []parsed[Route]
 	objectives    []parsed[Objective]
+	evacuations   []parsed[Evacuation]
 }
 
 const (
 	remedyYAML  = "complete the file and save it again"
-	remedyLists = "use Organisations, Keys, Adapters, Routes or Objectives"
+	remedyLists = "use Organisations, Keys, Adapters, Routes, Objectives or Evacuations"
 )
 
 func (d *decoder) addFault(line int, field, problem, remedy string) {
@@ -113,6 +114,8 @@
 			doc.routes = decodeList[Route](d, name, line, entry.Value)
 		case "Objectives":
 			doc.objectives = decodeList[Objective](d, name, line, entry.Value)
+		case "Evacuations":
+			doc.evacuations = decodeList[Evacuation](d, name, line, entry.Value)
 		default:
 			d.markIncomplete(line, name, "unknown field", remedyLists)
 		}
--- a/internal/merger/delta.go
+++ b/internal/merger/delta.go
@@ -15,6 +15,7 @@
 	Adapters      Changes[Adapter]      `json:",omitzero"`
 	Routes        Changes[Route]        `json:",omitzero"`
 	Objectives    Changes[Objective]    `json:",omitzero"`
+	Evacuations   Changes[Evacuation]   `json:",omitzero"`
 }
 
 // Changes are the differences of one kind of item.
@@ -39,6 +40,7 @@
 		Adapters:      diffMaps(a.Adapters, b.Adapters),
 		Routes:        diffMaps(a.Routes, b.Routes),
 		Objectives:    diffMaps(a.Objectives, b.Objectives),
+		Evacuations:   diffMaps(a.Evacuations, b.Evacuations),
 	}
 }
 
@@ -67,7 +69,7 @@
 
 // Empty reports whether there are no changes.
 func (d Delta) Empty() bool {
-	return d.Organisations.Empty() && d.Keys.Empty() && d.Adapters.Empty() && d.Routes.Empty() && d.Objectives.Empty()
+	return d.Organisations.Empty() && d.Keys.Empty() && d.Adapters.Empty() && d.Routes.Empty() && d.Objectives.Empty() && d.Evacuations.Empty()
 }
 
 // Apply returns items with the delta applied. It does not modify items; the result shares the maps without changes.
@@ -80,6 +82,7 @@
 		Adapters:      applyChanges("Adapters", items.Adapters, d.Adapters, &err),
 		Routes:        applyChanges("Routes", items.Routes, d.Routes, &err),
 		Objectives:    applyChanges("Objectives", items.Objectives, d.Objectives, &err),
+		Evacuations:   applyChanges("Evacuations", items.Evacuations, d.Evacuations, &err),
 	}
 	return out, err
 }
--- a/internal/merger/items.go
+++ b/internal/merger/items.go
@@ -93,6 +93,11 @@
 	Target float64 `yaml:"Target"`
 }
 
+// Evacuation is the order that endpoints in a failure domain get no requests.
+type Evacuation struct {
+	Domain string `yaml:"Domain"`
+}
+
 // Repeatable reports whether a call of the route may be executed more than once.
 func (r Route) Repeatable(method, path string) bool {
 	if r.Service == "" {
--- a/internal/merger/parse.go
+++ b/internal/merger/parse.go
@@ -185,6 +185,7 @@
 	adapters      map[string]parsed[Adapter]
 	routes        map[string]parsed[Route]
 	objectives    map[string]parsed[Objective]
+	evacuations   map[string]parsed[Evacuation]
 }
 
 func (c *checker) addFault(loc location, field, problem, remedy string) {
@@ -208,18 +209,23 @@
 		for i := range doc.objectives {
 			c.checkObjective(&doc.objectives[i])
 		}
+		for i := range doc.evacuations {
+			c.checkDomain(&doc.evacuations[i])
+		}
 	}
 	c.organisations = mergeList(c, docs, func(d document) []parsed[Organisation] { return d.organisations }, func(o Organisation) string { return o.Name })
 	c.keys = mergeList(c, docs, func(d document) []parsed[Key] { return d.keys }, func(k Key) string { return k.ID })
 	c.adapters = mergeList(c, docs, func(d document) []parsed[Adapter] { return d.adapters }, func(a Adapter) string { return a.Name })
 	c.routes = mergeList(c, docs, func(d document) []parsed[Route] { return d.routes }, func(r Route) string { return r.Name })
 	c.objectives = mergeList(c, docs, func(d document) []parsed[Objective] { return d.objectives }, func(o Objective) string { return o.Name })
+	c.evacuations = mergeList(c, docs, func(d document) []parsed[Evacuation] { return d.evacuations }, func(e Evacuation) string { return e.Domain })
 	return Items{
 		Organisations: itemsOf(c.organisations),
 		Keys:          itemsOf(c.keys),
 		Adapters:      itemsOf(c.adapters),
 		Routes:        itemsOf(c.routes),
 		Objectives:    itemsOf(c.objectives),
+		Evacuations:   itemsOf(c.evacuations),
 	}
 }
 
@@ -228,8 +234,11 @@
 	merged := map[string]parsed[T]{}
 	_, isKey := any(*new(T)).(Key)
 	nameField := "Name"
-	if isKey {
+	switch any(*new(T)).(type) {
+	case Key:
 		nameField = "Id"
+	case Evacuation:
+		nameField = "Domain"
 	}
 	for _, doc := range docs {
 		for _, p := range list(doc) {
@@ -447,6 +456,14 @@
 	}
 }
 
+// checkDomain validates an evacuation. The names of failure domains are those of the platform, so only their length is
+// limited.
+func (c *checker) checkDomain(p *parsed[Evacuation]) {
+	if d := p.item.Domain; d == "" || len(d) > MaxNameLength {
+		c.addFaultOnce(p.location.newFault("Domain", "missing or too long", fmt.Sprintf("give the name of a failure domain, with at most %d characters", MaxNameLength)))
+	}
+}
+
 // checkReferences validates the references between the merged items.
 func (c *checker) checkReferences() {
 	byDigest := map[string]location{}
--- a/internal/merger/revision.go
+++ b/internal/merger/revision.go
@@ -18,13 +18,14 @@
 	keysByDigest map[string]Key
 }
 
-// Items holds the items of a configuration by name, and keys by ID.
+// Items holds the items of a configuration by name, keys by ID and evacuations by failure domain.
 type Items struct {
 	Organisations map[string]Organisation `json:",omitempty"`
 	Keys          map[string]Key          `json:",omitempty"`
 	Adapters      map[string]Adapter      `json:",omitempty"`
 	Routes        map[string]Route        `json:",omitempty"`
 	Objectives    map[string]Objective    `json:",omitempty"`
+	Evacuations   map[string]Evacuation   `json:",omitempty"`
 }
 
 // NewRevision returns a revision with the given number and items. The caller must not modify items afterwards.
@@ -70,6 +71,11 @@
 // Adapters iterates over the adapters in unspecified order, without copying the map.
 func (r Revision) Adapters() iter.Seq[Adapter] { return maps.Values(r.items.Adapters) }
 
+// EvacuatedDomains returns the failure domains whose endpoints get no requests, sorted.
+func (r Revision) EvacuatedDomains() []string {
+	return slices.Sorted(maps.Keys(r.items.Evacuations))
+}
+
 // Number returns the revision's number; 0 is the empty revision that precedes the first.
 func (r Revision) Number() int64 { return r.number }
 
@@ -81,6 +87,7 @@
 		Adapters:      maps.Clone(r.items.Adapters),
 		Routes:        maps.Clone(r.items.Routes),
 		Objectives:    maps.Clone(r.items.Objectives),
+		Evacuations:   maps.Clone(r.items.Evacuations),
 	}
 }
 
--- a/internal/operator/keys.go
+++ b/internal/operator/keys.go
@@ -25,8 +25,8 @@
 	// 32 characters out of 62 give 190 bits of entropy, so an unsalted digest cannot be reversed by brute force.
 	secretLength = 32
 	base62       = "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
-	// keyAttempts bounds the retries when other operators change the same key file concurrently.
-	keyAttempts = 5
+	// editAttempts bounds the retries when other operators change the same file concurrently.
+	editAttempts = 5
 )
 
 // NewSecret returns a new random API key for a caller.
@@ -95,7 +95,7 @@
 		}
 		return done, applier.WriteFile(filepath.Join(dir, file.Name), file.Content)
 	}
-	r, err := c.commitKeys(ctx, cmd, func(files []merger.File) (merger.File, error) { return addKey(files, key) })
+	r, err := c.commitEdit(ctx, cmd, func(files []merger.File) (merger.File, error) { return addKey(files, key) })
 	if err != nil {
 		// Do not print the secret after an error: the key may have been committed, and must not be usable unnoticed.
 		return nil, errors.Wrapf(err, "the secret of key %s was discarded; withdraw the key if it appears in the files", id)
@@ -126,7 +126,7 @@
 		return nil, usageError("key withdraw needs --id ID and takes no other arguments")
 	}
 	file := ""
-	r, err := c.commitKeys(ctx, cmd, func(files []merger.File) (merger.File, error) {
+	r, err := c.commitEdit(ctx, cmd, func(files []merger.File) (merger.File, error) {
 		changed, err := removeKey(files, id)
 		file = changed.Name
 		return changed, err
@@ -138,14 +138,14 @@
 	return withdrawResult{ID: id, File: file, Revision: r.Revision, InForce: err == nil && c.InForce != nil}, err
 }
 
-// commitKeys edits one file of the newest revision and commits it. It retries when another operator changed the file.
-func (c Config) commitKeys(ctx context.Context, cmd *cli.Command, edit func([]merger.File) (merger.File, error)) (applier.ApplyResult, error) {
+// commitEdit edits one file of the newest revision and commits it. It retries when another operator changed the file.
+func (c Config) commitEdit(ctx context.Context, cmd *cli.Command, edit func([]merger.File) (merger.File, error)) (applier.ApplyResult, error) {
 	p, err := c.platform(cmd)
 	if err != nil {
 		return applier.ApplyResult{}, err
 	}
 	var conflict *applier.Conflict
-	for range keyAttempts {
+	for range editAttempts {
 		base, files, pullErr := applier.Pull(ctx, p)
 		if pullErr != nil {
 			return applier.ApplyResult{}, pullErr
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -44,6 +44,7 @@
 type Platform interface {
 	storer.Table
 	storer.Objects
+	storer.VMs
 }
 
 // InForce finds the live VMs that do not have a revision in force yet.
@@ -129,6 +130,9 @@
 			"GERANIUMLADDER_PLATFORM=http://10.0.0.2:8000 geraniumladder watch configuration", c.watch),
 		command("pull", "bring the newest files into a folder and keep the edits made there", "DIR",
 			"geraniumladder --platform http://10.0.0.2:8000 pull configuration", c.pull),
+		command("evacuate", "send no more requests to the endpoints of a failure domain", "DOMAIN",
+			"geraniumladder --platform http://10.0.0.2:8000 evacuate domain-b", c.evacuate,
+			&cli.BoolFlag{Name: "undo", Usage: "end the evacuation"}),
 		{
 			Name:   "key",
 			Usage:  "issue and withdraw callers' keys",
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -74,6 +74,9 @@
 	runError *wire.RunError
 	// neverOpened is set if no connection was opened.
 	neverOpened bool
+	// isEvacuated is set, together with neverOpened, if the endpoint's failure domain was evacuated before the request
+	// was sent.
+	isEvacuated bool
 	// failure ends the request regardless of the outcome.
 	failure *callError
 }
@@ -128,6 +131,9 @@
 			return endpoint, decision, nil
 		}
 		r.mu.Unlock()
+		if isEvacuated(err) {
+			return placer.Endpoint{}, placer.Decision{}, h.withOutcome(unavailable("evacuated", err.Error()))
+		}
 		if r.now().After(waitDeadline) {
 			return placer.Endpoint{}, placer.Decision{}, h.withOutcome(unavailable("no_endpoint", err.Error()))
 		}
@@ -213,6 +219,9 @@
 		return res.failure
 	case d.attempt >= maxDispatches:
 		return unavailable("no_endpoint", "no endpoint could run the request; send it again")
+	case res.isEvacuated:
+		// Nothing was sent, and the endpoint is not chosen again.
+		return nil
 	}
 	if res.runError != nil {
 		switch res.runError.Code { //nolint:exhaustive // The others mean that the endpoint failed.
@@ -262,9 +271,12 @@
 
 // runModel sends a model request to a sidecar and forwards its events. It returns nil if the response was complete.
 func (r *Router) runModel(ctx context.Context, cl *call, d *dispatch, sink *modelSink) *result {
-	release, failure := r.acquireLoadPermit(ctx, cl, d)
+	release, failure := r.acquireLoadPermitUnlessEvacuated(ctx, cl, d)
 	if failure != nil {
 		r.recordCompletion(cl, *d, false)
+		if r.isEvacuated(d) && ctx.Err() == nil {
+			return evacuatedResult()
+		}
 		return &result{failure: failure}
 	}
 	defer release()
@@ -375,6 +387,9 @@
 	req.Header.Set(dispatcher.TargetHeader, cl.target)
 	id := cmp.Or(d.runID, cl.id)
 	req.Header.Set(messenger.RequestIDHeader, id)
+	if r.isEvacuated(d) {
+		return nil, evacuatedResult()
+	}
 	return r.openResponse(req, id, d.endpoint.Address)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -93,7 +93,11 @@
 	// pendingLoads holds the adapter loads that this entry has requested and not yet seen start, by VM and adapter. The
 	// channel is closed when the request that triggered the load has received a response or failed.
 	pendingLoads map[string]chan struct{}
-	draining     bool
+	// evacuated are the evacuated failure domains, which the view has as well.
+	evacuated []string
+	// permitWaits holds the dispatches that wait for an adapter load, with the functions that end the wait.
+	permitWaits map[*dispatch]context.CancelFunc
+	draining    bool
 	// idle is closed once the router is draining and no call is in progress.
 	idle chan struct{}
 }
@@ -119,6 +123,7 @@
 		rng:          rand.New(rand.NewPCG(c.Seed, c.Seed+1)),
 		calls:        map[string]*activeCall{},
 		pendingLoads: map[string]chan struct{}{},
+		permitWaits:  map[*dispatch]context.CancelFunc{},
 		idle:         make(chan struct{}),
 	}
 }
@@ -235,8 +240,8 @@
 	)
 }
 
-// followRevisions applies each new configuration revision: it updates the limits and cancels the calls whose key was
-// withdrawn.
+// followRevisions applies each new configuration revision: it updates the limits and the evacuated failure domains, and
+// cancels the calls whose key was withdrawn.
 func (r *Router) followRevisions(ctx context.Context) error {
 	changes := r.config.Follower.Subscribe()
 	for {
@@ -257,6 +262,7 @@
 	r.config.Lender.SetOrganisations(limits)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.setEvacuated(revision)
 	for _, active := range r.calls {
 		if active.call.keyDigest == "" || !active.call.repeatable {
 			continue
@@ -305,15 +311,16 @@
 // Status returns the entry's state for operators.
 func (r *Router) Status() wire.EntryStatus {
 	freshness := r.config.Follower.Freshness()
-	revision := r.config.Follower.Current().Number()
+	revision := r.config.Follower.Current()
 	epoch, limits := r.config.Lender.Status()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.elapsed()
 	status := wire.EntryStatus{
 		VM: r.config.Settings.VM, Incarnation: r.config.Incarnation, FailureDomain: r.config.Settings.FailureDomain,
-		State: r.State(), Revision: revision, ProofAgeMs: freshness.AgeMs, StoreAway: freshness.StoreAway,
+		State: r.State(), Revision: revision.Number(), ProofAgeMs: freshness.AgeMs, StoreAway: freshness.StoreAway,
 		Open: len(r.calls), Epoch: epoch, Limits: limits, Endpoints: []wire.EndpointView{},
+		Evacuated: revision.EvacuatedDomains(),
 	}
 	for _, m := range r.members.Members(now) {
 		view := wire.EndpointView{
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -478,11 +478,14 @@
 
 // EntryStatus defines model for EntryStatus.
 type EntryStatus struct {
-	Endpoints     []EndpointView `json:"Endpoints"`
-	Epoch         int64          `json:"Epoch"`
-	FailureDomain string         `json:"FailureDomain"`
-	Incarnation   string         `json:"Incarnation"`
-	Limits        []LimitStatus  `json:"Limits"`
+	Endpoints []EndpointView `json:"Endpoints"`
+	Epoch     int64          `json:"Epoch"`
+
+	// Evacuated Failure domains whose endpoints get no requests.
+	Evacuated     []string      `json:"Evacuated,omitempty"`
+	FailureDomain string        `json:"FailureDomain"`
+	Incarnation   string        `json:"Incarnation"`
+	Limits        []LimitStatus `json:"Limits"`
 
 	// Open Requests being answered.
 	Open          int    `json:"Open"`
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -40,6 +40,8 @@
 	BaseModel, Service string
 	// Known, Live and Excluded are numbers of endpoints of the base model or service.
 	Known, Live, Excluded int
+	// Evacuated is the number of live endpoints in evacuated failure domains. They are not counted in Live.
+	Evacuated int
 }
 
 // Error returns a message that says what is missing and what to do about it.
@@ -51,6 +53,8 @@
 	switch {
 	case e.Known == 0:
 		return fmt.Sprintf("no endpoint of %s is known: start one, or correct the route's name", what)
+	case e.Live == 0 && e.Evacuated > 0:
+		return fmt.Sprintf("all %d live endpoints of %s are in evacuated failure domains: retry after the evacuation, or start another elsewhere", e.Evacuated, what)
 	case e.Live == 0:
 		return fmt.Sprintf("none of %d endpoints of %s is live: retry shortly, or start another", e.Known, what)
 	default:
@@ -268,24 +272,28 @@
 	return float64(requests) / float64(e.MaxRunning)
 }
 
-// eligible returns the live endpoints of the request's pool that are not excluded. If there are none, the error is a
+// eligible returns the live endpoints of the request's pool that are neither excluded nor in evacuated failure domains. If there are none, the error is a
 // *NoEndpointError.
 func (v View) eligible(r Request) ([]*endpoint, error) {
 	positions := v.pools[pool{baseModel: r.BaseModel, service: r.Service}]
 	members := make([]*endpoint, 0, len(positions))
-	live := 0
+	live, evacuated := 0, 0
 	for _, i := range positions {
 		e := v.endpoints[i]
 		if e.State != Live {
 			continue
 		}
+		if v.evacuated[e.FailureDomain] {
+			evacuated++
+			continue
+		}
 		live++
 		if !slices.Contains(r.Exclude, e.VM) {
 			members = append(members, e)
 		}
 	}
 	if len(members) == 0 {
-		return nil, &NoEndpointError{BaseModel: r.BaseModel, Service: r.Service, Known: len(positions), Live: live, Excluded: live}
+		return nil, &NoEndpointError{BaseModel: r.BaseModel, Service: r.Service, Known: len(positions), Live: live, Excluded: live, Evacuated: evacuated}
 	}
 	return members, nil
 }
--- a/pkg/placer/view.go
+++ b/pkg/placer/view.go
@@ -155,6 +155,8 @@
 	demand demand
 	// entries is the number of entries that share the demand; 0 counts as 1.
 	entries int
+	// evacuated is the set of failure domains whose endpoints are not chosen. The map is never modified.
+	evacuated map[string]bool
 }
 
 // pool identifies a group of endpoints that can run the same requests.
@@ -308,6 +310,15 @@
 	return v
 }
 
+// WithEvacuated sets the failure domains whose endpoints are not chosen. The map must not be modified afterwards.
+func (v View) WithEvacuated(domains map[string]bool) View {
+	v.evacuated = domains
+	return v
+}
+
+// IsEvacuated reports whether endpoints in the failure domain are not chosen.
+func (v View) IsEvacuated(domain string) bool { return v.evacuated[domain] }
+
 // Without removes the endpoint.
 func (v View) Without(vm string) View {
 	at, known := v.find(vm)
