Home regions of routes and organisations on the users' platform

A route or an organisation whose requests must stay in a region could not say so: requests and retries went to any endpoint of the service, in every failure domain.

The configuration may name regions for a route and for an organisation (homes), and the settings give the region of each zone. Endpoints in other regions, or in a domain whose region is unknown, are no candidates; where both name regions, both apply. An attempt at a silent endpoint is abandoned only if an endpoint in the home regions can take over. If none there can serve, the request is rejected at once with the reason home-regions. Entries send no bodies to one another, so nothing else can leave the regions. Without homes nothing changes; standalone mode names no regions and has none of this.

Measured: TestRequestsStayInTheirHomeRegions and TestDecodeConfiguration pass and fail without each of the checks; the tests of internal/forwarder pass with -race (7.8 s), those of platform on decoders, settings, evacuations, sidecars, draining and limits without (42.0 s). One run of internal/registrar with -race ended in a crash after 0.3 s whose cause the cut output doesn't show; four further runs passed (6.0 to 6.5 s). The homes in the search for an alternative to a silent endpoint were not tried without.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -67,7 +67,7 @@
 // acquireEndpoint selects an endpoint and waits until the adapter is resident there.
 func (x *exchange) acquireEndpoint(ctx context.Context) (*endpoint, *Refusal) {
 	sel := &criteria{
-		service: x.service, call: &x.call, excluded: x.excluded, allows: x.f.throttle.allows,
+		service: x.service, call: &x.call, homes: x.homes, excluded: x.excluded, allows: x.f.throttle.allows,
 		request: selector.Request{PromptTokens: x.call.PromptTokens, RequiredTokens: x.call.PromptTokens + x.call.AnswerTokens},
 	}
 	// The route limits the number of endpoints that receive the request. Once it is reached, only those endpoints may be
@@ -123,6 +123,9 @@
 	if sel.isEvacuated {
 		return refuseUnavailable("evacuated", evacuatedRetryAfter)
 	}
+	if sel.isElsewhere {
+		return refuseHomes()
+	}
 	return refuseUnavailable("no-endpoint", unavailableRetryAfter)
 }
 
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -304,6 +304,9 @@
 	limitedFor time.Duration
 	// isEvacuated is set if an endpoint was left out because its failure domain is evacuated.
 	isEvacuated bool
+	// homes restricts the selection to regions, and isElsewhere is set if an endpoint was left out because of that.
+	homes       homes
+	isElsewhere bool
 	// due is the index of a candidate that should get a request in order to learn whether its limit is still in force;
 	// -1 if there is none.
 	due int
@@ -312,7 +315,7 @@
 // candidates returns the endpoints that may serve the request, with the inputs of the cost function.
 func (f *fleet) candidates(sel *criteria) ([]selector.Candidate, []*endpoint) {
 	now := f.now()
-	sel.isLimited, sel.limitedFor, sel.isEvacuated, sel.due = false, 0, false, -1
+	sel.isLimited, sel.limitedFor, sel.isEvacuated, sel.isElsewhere, sel.due = false, 0, false, false, -1
 	list := f.byService[sel.service]
 	candidates := make([]selector.Candidate, 0, len(list))
 	endpoints := make([]*endpoint, 0, len(list))
@@ -321,6 +324,10 @@
 		if e.IsLeaving || e.isSuperseded || sel.excluded[key] || sel.becameUnavailable[key] || sel.only != nil && !sel.only[key] {
 			continue
 		}
+		if !sel.homes.allow(e.Domain) {
+			sel.isElsewhere = true
+			continue
+		}
 		if f.evacuated[e.Domain] {
 			sel.isEvacuated = true
 			continue
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -65,8 +65,10 @@
 
 // Config configures a Forwarder.
 type Config struct {
-	VM         string
-	Domain     string
+	VM     string
+	Domain string
+	// Regions maps failure domains to their regions.
+	Regions    map[string]string
 	Translator Translator
 	Pool       *connector.Pool
 	Admitter   Admitter
@@ -219,6 +221,7 @@
 	route         *registrar.Route
 	organisation  *registrar.Organisation
 	service       string
+	homes         homes
 	body          []byte
 	arrivedAt     time.Time
 	// deadline is the earlier of the deadlines of the caller and the route.
@@ -317,6 +320,7 @@
 	}
 	x.deadline = x.arrivedAt.Add(timeout)
 	x.service = x.route.ChooseService(x.call.ID)
+	x.homes = newHomes(x.f.config.Regions, x.route, x.organisation)
 	x.lastEvent = x.call.LastEvent
 	if refusal := x.readBody(); refusal != nil {
 		return refusal
--- a/internal/forwarder/liveness.go
+++ b/internal/forwarder/liveness.go
@@ -29,6 +29,8 @@
 	lastProgress atomic.Int64
 	// parts are the shared parts of the request's prompt.
 	parts []string
+	// homes restricts the endpoints at which the request may be retried.
+	homes homes
 	// hasEvents is set once an event has arrived.
 	hasEvents atomic.Bool
 	// isBlocked is set, before the connection is closed, when a part of the prompt has been blocked.
@@ -45,7 +47,7 @@
 	}
 	a := &attempt{
 		requestID: x.call.ID, service: x.service, conn: conn, isRetryable: x.route.IsIdempotent() && sentTo < x.route.Attempts, callerDeadline: x.deadline,
-		parts: x.call.sharedParts,
+		parts: x.call.sharedParts, homes: x.homes,
 	}
 	a.recordProgress(x.f.config.Now())
 	return a
@@ -123,8 +125,8 @@
 	}
 	var stalled []stalledAttempt
 	for _, e := range f.byIncarnation {
-		if e.liveness == detector.Silent && f.hasAlternative(e) {
-			stalled = append(stalled, e.stalledAttempts(now)...)
+		if e.liveness == detector.Silent {
+			stalled = append(stalled, f.stalledAttempts(e, now)...)
 		}
 	}
 	return changes, stalled
@@ -151,11 +153,11 @@
 }
 
 // stalledAttempts returns the attempts that receive no bytes and can be retried at another endpoint.
-func (e *endpoint) stalledAttempts(now time.Time) []stalledAttempt {
+func (f *fleet) stalledAttempts(e *endpoint, now time.Time) []stalledAttempt {
 	var list []stalledAttempt
 	for a := range e.attempts {
 		lastProgress := time.Unix(0, a.lastProgress.Load())
-		if !a.isRetryable || a.isAbandoned.Load() || now.Sub(lastProgress) < abandonAfterIdle || a.callerDeadline.Sub(now) < minRemaining {
+		if !a.isRetryable || a.isAbandoned.Load() || now.Sub(lastProgress) < abandonAfterIdle || a.callerDeadline.Sub(now) < minRemaining || !f.hasAlternative(e, a.homes) {
 			continue
 		}
 		list = append(list, stalledAttempt{attempt: a, endpoint: e.ID, idle: now.Sub(lastProgress)})
@@ -163,10 +165,10 @@
 	return list
 }
 
-// hasAlternative reports whether another endpoint of the service can take requests.
-func (f *fleet) hasAlternative(e *endpoint) bool {
+// hasAlternative reports whether another endpoint of the service can take requests with these home regions.
+func (f *fleet) hasAlternative(e *endpoint, h homes) bool {
 	for _, other := range f.byService[e.Service] {
-		if other != e && !other.IsLeaving && !other.isSuperseded && !f.evacuated[other.Domain] && other.liveness == detector.Heard && !other.state.IsDown {
+		if other != e && !other.IsLeaving && !other.isSuperseded && !f.evacuated[other.Domain] && h.allow(other.Domain) && other.liveness == detector.Heard && !other.state.IsDown {
 			return true
 		}
 	}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -91,6 +91,17 @@
 	}
 }
 
+// homesRetryAfter is the Retry-After value when no endpoint in the home regions can serve. Another region may not help out,
+// so it takes as long as it takes to restore one there.
+const homesRetryAfter = time.Second
+
+func refuseHomes() *Refusal {
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Reason: "home-regions", RetryAfter: homesRetryAfter,
+		Message: "no endpoint in the home regions of the route and the organisation can serve the request now, and others must not; it has not run",
+	}
+}
+
 func refusePart(retryAfter time.Duration) *Refusal {
 	return &Refusal{
 		Status: http.StatusServiceUnavailable, Reason: reasonBlockedPart, RetryAfter: retryAfter,
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -66,6 +66,8 @@
 	Open bool
 	// Resumable streams may continue at another endpoint after the last event received.
 	Resumable bool
+	// Homes are the regions in which requests may be served; all if empty.
+	Homes []string
 }
 
 // IsIdempotent reports whether a request of the route may be executed more than once.
@@ -140,6 +142,8 @@
 	CountsTokens bool
 	// PlainTokens is the cost in tokens of a request without a token count.
 	PlainTokens float64
+	// Homes are the regions in which requests may be served; all if empty. They apply beside those of the route.
+	Homes []string
 }
 
 // Operators is the content of the operators' table: the configuration and the orders beside it.
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -100,6 +100,8 @@
 // EntryConfig configures an Entry. Addresses are HOST:PORT.
 type EntryConfig struct {
 	VM, Domain string
+	// Regions maps failure domains to their regions.
+	Regions map[string]string
 	// CallerAddress serves callers, ReadyAddress the load balancer, PeerAddress the other processes, and MetricsAddress
 	// the metrics.
 	CallerAddress, ReadyAddress, PeerAddress, MetricsAddress string
@@ -161,7 +163,7 @@
 		VM: c.VM, Domain: c.Domain, Address: c.PeerAddress, Seeds: c.Tuning.Seeds, Allowance: c.Tuning.LimitAllowance, Now: time.Now, Log: c.Log,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
-		VM: c.VM, Domain: c.Domain, Translator: c.Translator, Pool: connector.New(connector.Config{}),
+		VM: c.VM, Domain: c.Domain, Regions: c.Regions, Translator: c.Translator, Pool: connector.New(connector.Config{}),
 		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Retry: c.Tuning.Retry, EntryCount: e.sharer.EntryCount, Members: e.sharer.Members,
 		AnswerMemory: answerMemory(c.Tuning), Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log, OnEvidence: func() {
 			e.hasNewEvidence.Store(true)
