Entries learn the speed of each engine from its responses

Callers saw late first events and pauses beyond their objective where some engines of a service run at half the speed of the others: the cost estimate knew one speed, counted a prompt in full until its first event, and let all entries choose the same engine between two reports of its sidecar.

pkg/estimator holds weighted medians of actual to expected time for each engine and service, and a backlog that drains at the learned speed. The forwarder observes first events and pauses, unless the entry, its caller or the engine's queue held them up. The error is in the final log line and in geraniumladder_estimate_ratio.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -68,7 +68,8 @@
 func (x *exchange) acquireEndpoint(ctx context.Context) (*endpoint, *Refusal) {
 	sel := &criteria{
 		service: x.service, call: &x.call, excluded: x.excluded, allows: x.f.throttle.allows,
-		request: selector.Request{PromptTokens: x.call.PromptTokens, RequiredTokens: x.call.PromptTokens + x.call.AnswerTokens},
+		request: selector.Request{PromptTokens: x.call.PromptTokens, RequiredTokens: x.call.PromptTokens + x.call.AnswerTokens,
+			MaxPause: x.configuration.MaxPause(x.service), Tolerance: x.choiceTolerance()},
 	}
 	// The route limits the number of endpoints that receive the request. Once it is reached, only those endpoints may be
 	// selected again.
@@ -189,16 +190,19 @@
 		pendingPrefill = max(0, x.call.PromptTokens-e.cachedTokens(&x.call))
 	}
 	e.recordStart(&x.call, version, pendingPrefill, now)
+	x.sent = e.sentState(&x.call, pendingPrefill, now)
 	f.mu.Unlock()
 	prefillDone := func() {
 		f.mu.Lock()
 		e.pendingPrefill = max(0, e.pendingPrefill-pendingPrefill)
+		e.updateBacklog(x.f.config.Now())
 		f.mu.Unlock()
 		pendingPrefill = 0
 	}
 	defer func() {
 		f.mu.Lock()
 		e.recordEnd(&x.call, pendingPrefill)
+		e.updateBacklog(x.f.config.Now())
 		f.mu.Unlock()
 	}()
 
@@ -250,6 +254,7 @@
 		return x.handleNotSent(ctx, e, "send", err, true)
 	}
 	x.sentTo[key] = true
+	x.sent.at = x.f.config.Now()
 	if err != nil {
 		return x.handleLost(ctx, e, "send", err)
 	}
@@ -388,6 +393,7 @@
 	buffer []byte
 	// onFirstEvent is called at the first event, which shows that the engine has finished the prefill.
 	onFirstEvent func()
+	pauses       pauseTimer
 }
 
 // relay forwards the stream until it ends or the connection fails.
@@ -437,8 +443,10 @@
 			return err
 		}
 	}
+	readAt := r.x.f.config.Now()
 	n, err := r.response.Body.Read(r.buffer[len(r.buffer):cap(r.buffer)])
 	r.buffer = r.buffer[:len(r.buffer)+n]
+	r.pauses.waited += r.x.f.config.Now().Sub(readAt)
 	if end := completeEventsLen(r.buffer); end > 0 {
 		// Bytes that complete no event are no progress: a faulty endpoint may send one now and then without end.
 		r.a.recordProgress(r.x.f.config.Now())
@@ -446,7 +454,9 @@
 			r.x.attemptFirstEventAt = r.x.f.config.Now()
 			r.a.hasEvents.Store(true)
 		}
-		r.x.attemptEvents += bytes.Count(r.buffer[:end], eventEnd)
+		events := bytes.Count(r.buffer[:end], eventEnd)
+		r.observe(events)
+		r.x.attemptEvents += events
 		r.x.recordAnswered(false)
 		if failure := r.forwardEvents(r.buffer[:end]); failure != nil {
 			return failure
@@ -463,6 +473,7 @@
 		r.x.recordOutcome(r.e, false, false)
 		if r.x.firstEventAfter == 0 {
 			r.x.firstEventAfter = r.x.f.config.Now().Sub(r.x.arrivedAt)
+			r.x.recordEstimate(r.e)
 		}
 	}
 	if id, ok := lastEventID(events); ok {
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -11,6 +11,7 @@
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
 	"geraniumladder/pkg/detector"
+	"geraniumladder/pkg/estimator"
 	"geraniumladder/pkg/placer"
 	"geraniumladder/pkg/selector"
 )
@@ -91,6 +92,9 @@
 	suspectUntil        time.Time
 	// cached maps the prompt prefixes that the engine is expected to have in its cache to the time of their last use.
 	cached map[prefixKey]time.Time
+	// speed is the engine's learned speed, and backlog the estimate of its unread prompt tokens.
+	speed   estimator.Engine
+	backlog estimator.Backlog
 	// changed is closed and replaced when the endpoint's state changes.
 	changed chan struct{}
 }
@@ -121,14 +125,18 @@
 	byService     map[string][]*endpoint
 	byAddress     map[string]*endpoint
 	versions      map[registrar.AdapterKey]int64
+	// defaults is the configuration of the cost estimate before anything is learned, and estimates holds what each service
+	// has taught.
+	defaults  selector.Config
+	estimates map[string]*estimator.Service
 	// crashes holds the crashes that takeCrashes has not returned yet.
 	crashes []endpointCrash
 }
 
-func newFleet(domain string, now func() time.Time) *fleet {
+func newFleet(domain string, now func() time.Time, defaults selector.Config) *fleet {
 	return &fleet{
 		domain: domain, now: now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
-		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{},
+		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, defaults: defaults, estimates: map[string]*estimator.Service{},
 	}
 }
 
@@ -148,6 +156,7 @@
 				loading: map[registrar.AdapterKey]int64{}, warm: map[registrar.AdapterKey]time.Time{}, cached: map[prefixKey]time.Time{}, changed: make(chan struct{}),
 				attempts: map[*attempt]struct{}{}, key: key.String(),
 			}
+			e.backlog = e.backlog.WithRate(f.now(), f.defaults.PrefillTokensPerMs)
 		}
 		if e.stateAt.IsZero() || f.now().Sub(e.stateAt) > stateTTL {
 			e.resident = heldAdapters(r.Models)
@@ -248,6 +257,7 @@
 	}
 	e.othersPendingPrefill = max(0, float64(s.UnreadTokens)-e.reportedPrefill)
 	e.state, e.stateAt, e.sentSinceReport = s, f.now(), 0
+	f.setSharedSpeed(e, s.Speed)
 	e.state.Adapters = nil
 	e.heartbeats = e.heartbeats.WithHeartbeat(e.stateAt, time.Duration(s.NextWithinMilliseconds)*time.Millisecond)
 	e.notifyChanged()
@@ -342,17 +352,17 @@
 	c := selector.Candidate{
 		ID: e.ID, IsSameDomain: e.Domain == f.domain, Batch: max(1, e.Slots), Busy: e.open, UnreadTokens: e.pendingPrefill,
 		FreeTokens: 1e9, Residency: selector.Resident, HasFreeSlot: true, IsCold: e.IsCold,
-		FailureRate: e.currentFailureRate(now), IsSuspect: now.Before(e.suspectUntil) || e.liveness >= detector.Suspect,
+		Speed: e.speed.Speed(now), FailureRate: e.currentFailureRate(now), IsSuspect: now.Before(e.suspectUntil) || e.liveness >= detector.Suspect,
 	}
 	if e.engine == nil {
 		return c
 	}
 	c.Batch = max(1, e.engine.Batch)
+	c.UnreadTokens = e.unreadTokens(now)
 	if fresh {
 		c.Busy = max(e.open, e.state.Running+e.state.Waiting+e.sentSinceReport)
 		c.FreeTokens = float64(e.state.TotalTokens - e.state.UsedTokens)
 		c.IsSuspect = c.IsSuspect || e.state.IsDown
-		c.UnreadTokens += e.othersPendingPrefill
 	}
 	if _, held := e.resident[registrar.AdapterKey{Model: sel.call.Model.Model}]; !held && sel.call.Model.Model != "" {
 		c.LacksModel, c.Residency = true, selector.Absent
@@ -484,6 +494,7 @@
 	e.sentSinceReport++
 	e.pendingPrefill += pendingPrefill
 	e.isDirty = e.isDirty || pendingPrefill > 0
+	e.updateBacklog(now)
 	u := e.usageOf(call.Model, version)
 	u.open++
 	u.sentTotal++
@@ -563,7 +574,7 @@
 	for _, e := range f.byIncarnation {
 		if e.isDirty && e.engine != nil {
 			e.isDirty = false
-			list = append(list, e.demand())
+			list = append(list, e.demand(f.now()))
 		}
 	}
 	return list
@@ -577,22 +588,22 @@
 	var list []EngineDemand
 	if address != "" {
 		if e := f.byAddress[address]; e != nil {
-			list = append(list, e.demand())
+			list = append(list, e.demand(f.now()))
 		}
 		return list
 	}
 	for _, e := range f.byIncarnation {
 		if e.engine != nil {
-			list = append(list, e.demand())
+			list = append(list, e.demand(f.now()))
 		}
 	}
 	return list
 }
 
-func (e *endpoint) demand() EngineDemand {
+func (e *endpoint) demand(now time.Time) EngineDemand {
 	e.reportedPrefill = e.pendingPrefill
 	d := EngineDemand{Address: e.Address, Message: wire.EntryDemand{
-		EndpointID: e.ID, UnreadTokens: int64(e.pendingPrefill), Wanted: []wire.AdapterDemand{}, Used: []wire.AdapterDemand{},
+		EndpointID: e.ID, UnreadTokens: int64(e.pendingPrefill), Speed: e.speed.OwnSpeed(now), Wanted: []wire.AdapterDemand{}, Used: []wire.AdapterDemand{},
 	}}
 	for key, u := range e.usage {
 		if key.Model == "" {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -61,6 +61,8 @@
 	FirstToken(organisation string, d time.Duration)
 	// Delay records by how much the process is behind.
 	Delay(d time.Duration)
+	// Estimate records the ratio of actual to expected time to the first event.
+	Estimate(cause string, ratio float64)
 }
 
 // Config configures a Forwarder.
@@ -134,7 +136,7 @@
 	}
 	start := c.Now()
 	f := &Forwarder{
-		config: c, fleet: newFleet(c.Domain, c.Now), start: start, retryBudgets: map[string]*retryBudget{},
+		config: c, fleet: newFleet(c.Domain, c.Now, c.Selector), start: start, retryBudgets: map[string]*retryBudget{},
 		quarantine: newQuarantine(start, c.Now, c.Log), throttle: newThrottle(c.VM, start, c.Now, c.Log),
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
@@ -253,6 +255,10 @@
 	placedAt        time.Time
 	chosen          placement
 	firstEventAfter time.Duration
+	// sent is the basis on which the current attempt's time to its first event is judged, and estimateRatio the ratio of
+	// actual to expected time to the first event of the response; 0 before it.
+	sent          sentState
+	estimateRatio float64
 	// admittedTokens is the number of tokens taken from the organisation's limit.
 	admittedTokens float64
 	// held counts the memory of the endpoints' responses.
@@ -270,6 +276,10 @@
 	stateAge       time.Duration
 	busy           int
 	pendingPrefill float64
+	// at is the time of the selection. isWarm and speed are those of the selector.Candidate.
+	at     time.Time
+	isWarm bool
+	speed  float64
 }
 
 // ServeHTTP implements http.Handler.
@@ -450,6 +460,9 @@
 	if !x.placedAt.IsZero() {
 		e = e.Dur("PlacedAfter", x.placedAt.Sub(x.arrivedAt)).Dur("FirstAfter", x.firstEventAfter)
 	}
+	if x.estimateRatio > 0 {
+		e = e.Float64("ActualToExpected", x.estimateRatio).Float64("Speed", x.chosen.speed).Str("Cause", x.chosen.cause())
+	}
 	e.Msg("forwarder: request ended")
 }
 
@@ -493,7 +506,7 @@
 	defer f.fleet.mu.Unlock()
 	candidates, endpoints := f.fleet.candidates(sel)
 	f.mu.Lock()
-	choice, ok := selector.Choose(f.config.Selector, sel.request, candidates, f.rng)
+	choice, ok := selector.Choose(f.fleet.estimate(sel.service).Config(), sel.request, candidates, f.rng)
 	f.mu.Unlock()
 	if !ok {
 		return nil, placement{}, false
@@ -504,6 +517,7 @@
 	e, c := endpoints[choice.Index], candidates[choice.Index]
 	p := placement{
 		endpoint: e.ID, expected: choice.Expected, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
+		at: f.config.Now(), isWarm: c.IsWarm, speed: c.Speed,
 	}
 	if !e.stateAt.IsZero() {
 		p.stateAge = f.config.Now().Sub(e.stateAt)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -81,6 +81,7 @@
 func (observer) Retry(string)                     {}
 func (observer) FirstToken(string, time.Duration) {}
 func (observer) Delay(time.Duration)              {}
+func (observer) Estimate(string, float64)         {}
 
 // endpoint is an HTTP endpoint whose responses a test writes to the raw connection.
 type endpoint struct {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -28,6 +28,10 @@
 	betweenTokensBuckets = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.071, 0.1, 0.2, 0.5, 1, 5}
 )
 
+// estimateBuckets are the bucket boundaries of the ratio of actual to expected time. The target is that 80 of 100 requests
+// are between 0.6 and 1.5.
+var estimateBuckets = []float64{0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.2, 1.5, 2, 3, 5, 10}
+
 // Meter holds the instruments of one process. It is safe for concurrent use.
 type Meter struct {
 	registry *prometheus.Registry
@@ -45,6 +49,7 @@
 	queueWait     metric.Float64Histogram
 	loadTime      metric.Float64Histogram
 	delay         metric.Float64Histogram
+	estimate      metric.Float64Histogram
 	otelMeter     metric.Meter
 	// organisationOptions caches the measurement options of each organisation, which would otherwise be rebuilt for
 	// each token.
@@ -98,6 +103,10 @@
 	m.queueWait = histogram("geraniumladder.queue.wait", "Time in the queue of an endpoint.", firstTokenBuckets)
 	m.loadTime = histogram("geraniumladder.adapter.load", "Time of an adapter load.", firstTokenBuckets)
 	m.delay = histogram("geraniumladder.process.delay", "How far the process is behind, sampled.", betweenTokensBuckets)
+	var err error
+	m.estimate, err = m.otelMeter.Float64Histogram("geraniumladder.estimate.ratio", metric.WithUnit("1"),
+		metric.WithDescription("Actual to expected time to the first event, by cause of the wait."), metric.WithExplicitBucketBoundaries(estimateBuckets...))
+	errs = append(errs, err)
 	return errors.Join(errs...)
 }
 
@@ -172,6 +181,11 @@
 // Delay records by how much the process is behind.
 func (m *Meter) Delay(d time.Duration) { m.delay.Record(context.Background(), d.Seconds()) }
 
+// Estimate records the ratio of actual to expected time to the first event; cause is resident, loading, absent or warm.
+func (m *Meter) Estimate(cause string, ratio float64) {
+	m.estimate.Record(context.Background(), ratio, metric.WithAttributes(attribute.String("Cause", cause)))
+}
+
 // FirstToken records the time from a request's arrival to its first token.
 func (m *Meter) FirstToken(organisation string, took time.Duration) {
 	m.firstToken.Record(context.Background(), took.Seconds(), m.optionsFor(organisation).record...)
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -163,7 +163,9 @@
 	updatedAt         time.Time
 	address           string
 	unprocessedTokens int64
-	adapterDemand     map[Adapter]Demand
+	// speed is the engine's speed as the entry has observed it; 0 if it has not.
+	speed         float64
+	adapterDemand map[Adapter]Demand
 }
 
 // Orderer runs beside one engine. It is safe for use by several goroutines.
@@ -222,7 +224,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.config.Now()
-	demand := entryDemand{updatedAt: now, address: from, unprocessedTokens: d.UnreadTokens, adapterDemand: map[Adapter]Demand{}}
+	demand := entryDemand{updatedAt: now, address: from, unprocessedTokens: d.UnreadTokens, speed: d.Speed, adapterDemand: map[Adapter]Demand{}}
 	counts := o.requestCounts[d.VM]
 	if counts == nil {
 		counts = map[Adapter]int{}
@@ -274,6 +276,23 @@
 	return sum
 }
 
+// medianSpeed returns the median of the speeds that the entries have observed; 0 if none has.
+func (o *Orderer) medianSpeed() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var speeds []float64
+	for _, e := range o.entries {
+		if e.speed > 0 {
+			speeds = append(speeds, e.speed)
+		}
+	}
+	if len(speeds) == 0 {
+		return 0
+	}
+	slices.Sort(speeds)
+	return speeds[len(speeds)/2]
+}
+
 // totalDemand drops expired demand and returns the sum of the rest by adapter, and the addresses of the entries.
 func (o *Orderer) totalDemand() (map[Adapter]Demand, []string) {
 	o.mu.Lock()
@@ -520,7 +539,7 @@
 	})
 	s := wire.EngineState{
 		Address: o.config.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, UsedTokens: r.Used, TotalTokens: r.Total,
-		UnreadTokens: o.unprocessedTokens(), Adapters: adapters,
+		UnreadTokens: o.unprocessedTokens(), Speed: o.medianSpeed(), Adapters: adapters,
 	}
 	sentAdapters := o.sentState.Adapters
 	adaptersChanged := sentAdapters == nil || s.Born != o.sentState.Born || o.sentState.IsDown || len(recipients) > o.recipientCount ||
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -331,8 +332,8 @@
 	})
 }
 
-// TestDownEngineIsReported checks that the entries are told that an engine is down. Otherwise they would go on
-// sending it requests.
+// TestDownEngineIsReported checks that the entries are told that an engine is down, and before that the median of the
+// speeds that they have observed. Otherwise they would go on sending it requests.
 func TestDownEngineIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e, out := newFakeEngine("base"), &recorder{}
@@ -341,12 +342,16 @@
 		end := make(chan error)
 		go func() { end <- o.Run(ctx) }()
 		o.SetDemand(demand(1, 700), "entry:1")
+		for i, speed := range []float64{0.5, 0, 3, 0.6} {
+			o.SetDemand(wire.EntryDemand{VM: "other" + strconv.Itoa(i), Speed: speed}, "entry:"+strconv.Itoa(i+2))
+		}
 		time.Sleep(500 * time.Millisecond)
 		synctest.Wait()
 		out.inspect(func() {
 			last := out.states[len(out.states)-1]
 			assert.Assert(t, !last.IsDown)
 			assert.Equal(t, last.UnreadTokens, int64(700))
+			assert.Equal(t, last.Speed, 0.6)
 		})
 		e.update(func() { e.isDown = true })
 		o.SetDemand(demand(2, 700), "entry:1")
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -56,6 +56,8 @@
 	Timeout time.Duration
 	// Objective is the response-time objective: to the first event of a stream, or else to the end of the response.
 	Objective time.Duration
+	// MaxPause is the objective for the time between two events of a stream; 0 without one.
+	MaxPause time.Duration
 	// Priority is the scheduling priority; 0 is served first.
 	Priority int
 	// Targets has at least one element.
@@ -169,6 +171,8 @@
 	organisations map[string]*Organisation
 	keys          map[string]*Organisation
 	limits        Limits
+	// maxPauses holds the shortest MaxPause of the routes to each service.
+	maxPauses map[string]time.Duration
 }
 
 // NewConfiguration indexes the parts, which must not be modified afterwards. Keys of unknown organisations are ignored.
@@ -176,11 +180,17 @@
 	c := &Configuration{
 		version: parts.Version, hosts: map[string][]*Route{}, services: map[string]*Service{},
 		organisations: map[string]*Organisation{}, keys: map[string]*Organisation{}, limits: parts.Limits,
+		maxPauses: map[string]time.Duration{},
 	}
 	for i := range parts.Routes {
 		r := &parts.Routes[i]
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
+		for _, t := range r.Targets {
+			if p, ok := c.maxPauses[t.Service]; r.MaxPause > 0 && (!ok || r.MaxPause < p) {
+				c.maxPauses[t.Service] = r.MaxPause
+			}
+		}
 	}
 	for _, routes := range c.hosts {
 		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -208,6 +218,9 @@
 // Service returns the service, or nil.
 func (c *Configuration) Service(name string) *Service { return c.services[name] }
 
+// MaxPause returns the strictest objective for pauses of the streams at a service; 0 without one.
+func (c *Configuration) MaxPause(service string) time.Duration { return c.maxPauses[service] }
+
 // Organisations returns the organisations by name. The map must not be modified.
 func (c *Configuration) Organisations() map[string]*Organisation { return c.organisations }
 
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -376,8 +376,11 @@
 	Running                int   `json:"Running"`
 
 	// Sequence Rises with each message of one run.
-	Sequence    int64 `json:"Sequence"`
-	TotalTokens int64 `json:"TotalTokens"`
+	Sequence int64 `json:"Sequence"`
+
+	// Speed Median of what the entries last told; left out if none did.
+	Speed       float64 `json:"Speed,omitempty"`
+	TotalTokens int64   `json:"TotalTokens"`
 
 	// UnreadTokens Sum of what the entries last told.
 	UnreadTokens int64 `json:"UnreadTokens"`
@@ -398,6 +401,9 @@
 	// Sequence Rises with each message of one run.
 	Sequence int64 `json:"Sequence"`
 
+	// Speed The engine's speed relative to that of its service, from responses to the sender; left out if they were too few.
+	Speed float64 `json:"Speed,omitempty"`
+
 	// UnreadTokens Prompt tokens that the entry has sent and that the engine hasn't read yet.
 	UnreadTokens int64 `json:"UnreadTokens"`
 
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -65,6 +65,8 @@
 	IsCold bool
 	// LacksModel engines do not hold the request's base model.
 	LacksModel bool
+	// Speed is the engine's speed relative to the service's common speed; 0 means 1.
+	Speed float64
 }
 
 // Request holds the properties of a request that the choice depends on.
@@ -72,15 +74,34 @@
 	PromptTokens float64
 	// RequiredTokens is the KV cache capacity required for prompt and answer.
 	RequiredTokens float64
+	// MaxPause is the objective for the pauses between the events of streams on the same engines; 0 without one.
+	MaxPause time.Duration
+	// Tolerance is the difference between the costs of resident candidates that counts as equal, if it is above
+	// CostTolerance.
+	Tolerance time.Duration
 }
 
 // Config holds the parameters of the cost estimate. Zero fields take their defaults in WithDefaults. Fields named Time
 // are estimates of delays; fields named Penalty only affect the comparison of endpoints.
 type Config struct {
-	// PrefillTokensPerMs is the prefill throughput of an engine.
+	// PrefillTokensPerMs is the prefill throughput of an engine, with the time of the steps in which it reads.
 	PrefillTokensPerMs float64
-	// StepTimePerRequest is the delay caused by each request in the batch.
+	// PrefillStepTokens is the maximum number of prompt tokens that an engine reads in one step.
+	PrefillStepTokens float64
+	// EventTime is the time in which an engine generates the EventTokens tokens of one event while it reads no prompt.
+	EventTime   time.Duration
+	EventTokens float64
+	// StepTimePerRequest is the increase of EventTime caused by each request in the batch.
 	StepTimePerRequest time.Duration
+	// BusyPenalty is added for each request in the batch, in order to spread requests.
+	BusyPenalty time.Duration
+	// SlowedStreamWeight is the cost of delaying a running stream in proportion to the time for which the request's
+	// prompt slows it, and LateStreamWeight that of a delay that makes the stream's pauses exceed their objective. Both
+	// apply only to requests with a MaxPause.
+	SlowedStreamWeight, LateStreamWeight float64
+	// MaxStreamPenalty bounds the cost of slowing other streams. It is below SuspectPenalty, so that a slow engine is
+	// preferred to a failing one.
+	MaxStreamPenalty time.Duration
 	// LoadTime is the duration of an adapter load.
 	LoadTime time.Duration
 	// WarmLoadTime is the duration of an adapter load at an engine that held the adapter recently.
@@ -112,7 +133,14 @@
 // Defaults of Config.
 const (
 	DefaultPrefillTokensPerMs  = 32
-	DefaultStepTimePerRequest  = 2 * time.Millisecond
+	DefaultPrefillStepTokens   = 1024
+	DefaultEventTime           = 30 * time.Millisecond
+	DefaultEventTokens         = 6
+	DefaultStepTimePerRequest  = 100 * time.Microsecond
+	DefaultBusyPenalty         = 1900 * time.Microsecond
+	DefaultSlowedStreamWeight  = 0.02
+	DefaultLateStreamWeight    = 0.3
+	DefaultMaxStreamPenalty    = 1200 * time.Millisecond
 	DefaultLoadTime            = 260 * time.Millisecond
 	DefaultWarmLoadTime        = 50 * time.Millisecond
 	DefaultLoadPenalty         = 500 * time.Millisecond
@@ -129,14 +157,23 @@
 
 // WithDefaults returns the configuration with zero fields replaced by their defaults.
 func (c Config) WithDefaults() Config {
-	if c.PrefillTokensPerMs == 0 {
-		c.PrefillTokensPerMs = DefaultPrefillTokensPerMs
+	for _, n := range []struct {
+		field *float64
+		value float64
+	}{
+		{&c.PrefillTokensPerMs, DefaultPrefillTokensPerMs}, {&c.PrefillStepTokens, DefaultPrefillStepTokens}, {&c.EventTokens, DefaultEventTokens},
+		{&c.SlowedStreamWeight, DefaultSlowedStreamWeight}, {&c.LateStreamWeight, DefaultLateStreamWeight},
+	} {
+		if *n.field == 0 {
+			*n.field = n.value
+		}
 	}
 	for _, d := range []struct {
 		field *time.Duration
 		value time.Duration
 	}{
-		{&c.StepTimePerRequest, DefaultStepTimePerRequest}, {&c.LoadTime, DefaultLoadTime}, {&c.LoadPenalty, DefaultLoadPenalty}, {&c.WarmLoadTime, DefaultWarmLoadTime},
+		{&c.StepTimePerRequest, DefaultStepTimePerRequest}, {&c.EventTime, DefaultEventTime}, {&c.BusyPenalty, DefaultBusyPenalty},
+		{&c.MaxStreamPenalty, DefaultMaxStreamPenalty}, {&c.LoadTime, DefaultLoadTime}, {&c.LoadPenalty, DefaultLoadPenalty}, {&c.WarmLoadTime, DefaultWarmLoadTime},
 		{&c.ModelLoadTime, DefaultModelLoadTime}, {&c.SlotWaitTime, DefaultSlotWaitTime}, {&c.QueueTimePerRequest, DefaultQueueTimePerRequest}, {&c.CrossDomainTime, DefaultCrossDomainTime},
 		{&c.HomeRankPenalty, DefaultHomeRankPenalty}, {&c.FailurePenalty, DefaultFailurePenalty}, {&c.SuspectPenalty, DefaultSuspectPenalty},
 		{&c.ColdStartTime, DefaultColdStartTime}, {&c.CostTolerance, DefaultCostTolerance},
@@ -158,32 +195,56 @@
 	Cost time.Duration
 }
 
-// Choose returns the candidate with the lowest cost, and false if there are no candidates. Ties within CostTolerance are
+// Choose returns the candidate with the lowest cost, and false if there are no candidates. Ties within the tolerance are
 // broken randomly, so that entries with the same view do not all choose the same endpoint.
+//
+// The reports on which the view rests are some hundred milliseconds old where there are many entries. The load of the
+// cheapest engine has then often been raised by another entry already, so that the request's tolerance spreads requests
+// better than the lowest cost. It applies only where no adapter is loaded, because loads are worth concentrating.
 func Choose(c Config, r Request, candidates []Candidate, rng *rand.Rand) (Choice, bool) {
-	best := Choice{Index: -1}
-	ties := 0
+	costs := make([]time.Duration, len(candidates))
+	best := -1
 	for i := range candidates {
-		expected, cost := Cost(c, r, &candidates[i])
-		switch {
-		case best.Index < 0 || cost < best.Cost-c.CostTolerance:
-			best, ties = Choice{Index: i, Expected: expected, Cost: cost}, 1
-		case cost <= best.Cost+c.CostTolerance:
+		_, costs[i] = Cost(&c, &r, &candidates[i])
+		if best < 0 || costs[i] < costs[best] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Choice{Index: -1}, false
+	}
+	chosen, ties, lowest := best, 0, costs[best]
+	for i, cost := range costs {
+		tolerance := c.CostTolerance
+		if candidates[best].Residency == Resident && candidates[i].Residency == Resident {
+			tolerance = max(tolerance, r.Tolerance)
+		}
+		if cost <= lowest+tolerance {
 			ties++
-			if rng.IntN(ties) == 0 {
-				best = Choice{Index: i, Expected: expected, Cost: min(cost, best.Cost)}
+			if ties == 1 || rng.IntN(ties) == 0 {
+				chosen = i
 			}
 		}
 	}
-	return best, best.Index >= 0
+	expected, _ := Cost(&c, &r, &candidates[chosen])
+	return Choice{Index: chosen, Expected: expected, Cost: lowest}, true
 }
 
 // Cost returns the expected time to the first event of the response and the cost by which candidates are compared. The
 // cost is the expected time plus the penalties. The penalty for a warm load is WarmLoadTime.
-func Cost(c Config, r Request, e *Candidate) (expected, cost time.Duration) {
-	prefillTokens := e.UnreadTokens + max(0, r.PromptTokens-e.CachedPrefixTokens)
-	expected = time.Duration(prefillTokens / c.PrefillTokensPerMs * float64(time.Millisecond))
-	expected += time.Duration(min(e.Busy, e.Batch)) * c.StepTimePerRequest
+func Cost(c *Config, r *Request, e *Candidate) (expected, cost time.Duration) {
+	speed := e.Speed
+	if speed <= 0 {
+		speed = 1
+	}
+	ownTokens := max(0, r.PromptTokens-e.CachedPrefixTokens)
+	running := min(e.Busy, e.Batch)
+	expected = atSpeed((e.UnreadTokens+ownTokens)/c.PrefillTokensPerMs, speed)
+	expected += time.Duration(float64(c.EventTime+time.Duration(running)*c.StepTimePerRequest) / speed)
+	cost = time.Duration(float64(running) * float64(c.BusyPenalty) / speed)
+	if r.MaxPause > 0 {
+		cost += streamPenalty(c, r.MaxPause, e.UnreadTokens, ownTokens, running, speed)
+	}
 	if excess := e.Busy + 1 - e.Batch; excess > 0 {
 		expected += time.Duration(excess) * c.QueueTimePerRequest
 	}
@@ -222,3 +283,36 @@
 	}
 	return expected, cost
 }
+
+// atSpeed returns the time that takes ms milliseconds at the common speed.
+func atSpeed(ms, speed float64) time.Duration {
+	return time.Duration(ms / speed * float64(time.Millisecond))
+}
+
+// PrefillDelayMs returns the number of milliseconds by which the reading of prompt tokens delays the steps of a running
+// stream. It is less than the time in which the tokens are read, because the steps run anyway.
+func (c *Config) PrefillDelayMs(tokens float64) float64 {
+	read := 1 / c.PrefillTokensPerMs
+	step := float64(c.EventTime) / float64(time.Millisecond) / c.EventTokens
+	// At least half of the time is that of the tokens, also while the two are learned from different responses.
+	return tokens * max(read/2, read-step/c.PrefillStepTokens)
+}
+
+const (
+	// safePause is the part of MaxPause up to which no stream is expected to be late, and pauseRange the further part
+	// within which all of them become late, because the tokens of an event and the load vary.
+	safePause  = 0.7
+	pauseRange = 0.5
+)
+
+// streamPenalty returns the cost of delaying the streams that run on the engine. While an engine reads a long prompt, each
+// of the steps for a stream's next event takes as long as the reading of PrefillStepTokens. With 6 tokens per event and
+// 1,024 prompt tokens per step, the pause is 190 ms at 32 tokens per ms and 350 ms on an engine of half the speed.
+func streamPenalty(c *Config, maxPause time.Duration, unreadTokens, ownTokens float64, running int, speed float64) time.Duration {
+	delayTokens := min(unreadTokens+ownTokens, c.EventTokens*c.PrefillStepTokens)
+	pause := time.Duration(float64(c.EventTime+time.Duration(running)*c.StepTimePerRequest)/speed) + atSpeed(c.PrefillDelayMs(delayTokens), speed)
+	lateness := min(1, max(0, (float64(pause)/float64(maxPause)-safePause)/pauseRange))
+	weight := c.SlowedStreamWeight + c.LateStreamWeight*lateness
+	slowed := atSpeed(ownTokens/c.PrefillTokensPerMs, speed)
+	return min(c.MaxStreamPenalty, time.Duration(weight*float64(running)*float64(slowed)))
+}
--- a/pkg/selector/selector_test.go
+++ b/pkg/selector/selector_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -89,7 +91,7 @@
 			Residency:   selector.Residency(rapid.IntRange(0, 2).Draw(t, "residency")),
 			FailureRate: rapid.Float64Range(0, 1).Draw(t, "failures"),
 		}
-		_, before := selector.Cost(config, prompt, &c)
+		_, before := selector.Cost(&config, &prompt, &c)
 		worse := c
 		switch rapid.IntRange(0, 4).Draw(t, "worse") {
 		case 0:
@@ -103,12 +105,47 @@
 		case 4:
 			worse.IsSuspect = true
 		}
-		if _, after := selector.Cost(config, prompt, &worse); after < before {
+		if _, after := selector.Cost(&config, &prompt, &worse); after < before {
 			t.Fatalf("%v is cheaper than %v: %+v", after, before, worse)
 		}
 	})
 }
 
+// TestSlowEnginesAreSpared guards against long prompts on a slow engine whose streams they would delay beyond the objective,
+// although it is a little cheaper otherwise, and against short prompts behind a slow engine's pending prefill; and against
+// an engine that its speed alone makes worse than a suspect one.
+func TestSlowEnginesAreSpared(t *testing.T) {
+	long := selector.Request{PromptTokens: 9190, MaxPause: 300 * time.Millisecond}
+	slow, fast := engine("slow"), engine("fast")
+	slow.Speed, fast.Speed, slow.Busy, fast.Busy, fast.UnreadTokens = 0.55, 1.2, 10, 10, 20000
+	assert.Equal(t, choose(t, selector.Request{PromptTokens: 9190}, slow, fast), "slow")
+	assert.Equal(t, choose(t, long, slow, fast), "fast")
+	slow.UnreadTokens, fast.UnreadTokens, slow.Busy = 9000, 15000, 0
+	assert.Equal(t, choose(t, selector.Request{PromptTokens: 826}, slow, fast), "fast")
+	idle, suspect := engine("idle"), engine("suspect")
+	idle.Speed, idle.Busy, suspect.IsSuspect, suspect.Busy = 1.0/8, 10, true, 10
+	assert.Equal(t, choose(t, selector.Request{PromptTokens: 5000, MaxPause: time.Millisecond}, idle, suspect), "idle")
+}
+
+// BenchmarkChoose measures the cost of one choice.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{51, 400, 1000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			candidates := make([]selector.Candidate, n)
+			for i := range candidates {
+				candidates[i] = engine(strconv.Itoa(i))
+				candidates[i].UnreadTokens, candidates[i].Busy = 10000*rng.Float64(), rng.IntN(20)
+			}
+			r := prompt
+			b.ReportAllocs()
+			for b.Loop() {
+				selector.Choose(config, r, candidates, rng)
+			}
+		})
+	}
+}
+
 // TestEqualCostsAreBrokenRandomly guards against entries that all choose the first of several endpoints with equal cost.
 func TestEqualCostsAreBrokenRandomly(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 4))
