--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -63,6 +63,8 @@
 	FirstToken(organisation string, d time.Duration)
 	// Delay records by how much the process is behind.
 	Delay(d time.Duration)
+	// Estimate records the ratio of actual to expected time to the first event.
+	Estimate(cause string, ratio float64)
 }
 
 // Config configures a Forwarder.
@@ -140,7 +142,7 @@
 	elapsed := clock{now: c.Now, start: c.Now()}
 	r := newReports(elapsed, c.Observer, c.Log)
 	f := &Forwarder{
-		config: c, fleet: newFleet(c.Domain, c.Now, r), start: elapsed.start, retryBudgets: map[string]*retryBudget{},
+		config: c, fleet: newFleet(c.Domain, c.Now, c.Selector, r), start: elapsed.start, retryBudgets: map[string]*retryBudget{},
 		quarantine: newQuarantine(elapsed, c.Log), throttle: newThrottle(c.VM, elapsed, c.Log), reports: r,
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
@@ -262,6 +264,10 @@
 	placedAt        time.Time
 	chosen          placement
 	firstEventAfter time.Duration
+	// sent is the basis on which the current attempt's time to its first event is judged, and estimateRatio the ratio of
+	// actual to expected time to the first event of the response; 0 before it.
+	sent          sentState
+	estimateRatio float64
 	// admittedTokens is the number of tokens taken from the organisation's limit.
 	admittedTokens float64
 	// transfer is the request's place among those that wait for an adapter load to start.
@@ -281,6 +287,10 @@
 	stateAge       time.Duration
 	busy           int
 	pendingPrefill float64
+	// at is the time of the selection. isWarm and speed are those of the selector.Candidate.
+	at     time.Time
+	isWarm bool
+	speed  float64
 }
 
 // ServeHTTP implements http.Handler.
@@ -465,6 +475,9 @@
 	if x.transfer.waited > 0 {
 		e = e.Dur("TransferWait", x.transfer.waited)
 	}
+	if x.estimateRatio > 0 {
+		e = e.Float64("ActualToExpected", x.estimateRatio).Float64("Speed", x.chosen.speed).Str("Cause", x.chosen.cause())
+	}
 	e.Msg("forwarder: request ended")
 }
 
@@ -508,7 +521,7 @@
 	defer f.fleet.mu.Unlock()
 	candidates, endpoints := f.fleet.candidates(sel)
 	f.mu.Lock()
-	choice, ok := selector.Choose(f.config.Selector, sel.request, candidates, f.rng)
+	choice, ok := selector.Choose(f.fleet.estimate(sel.service).Config(), sel.request, candidates, f.rng)
 	f.mu.Unlock()
 	if !ok {
 		return nil, placement{}, false
@@ -519,6 +532,7 @@
 	e, c := endpoints[choice.Index], candidates[choice.Index]
 	p := placement{
 		endpoint: e.ID, expected: choice.Expected, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
+		at: f.config.Now(), isWarm: c.IsWarm, speed: c.Speed,
 	}
 	if !e.stateAt.IsZero() {
 		p.stateAge = f.config.Now().Sub(e.stateAt)
