Loads from engines' own copies don't set the transfer limit

A sidecar can't tell a load from a copy from a transfer before it has seen several, and after a restart it starts anew. Durations below a gap of three times and floors far below the others are left out now; TestMisclassifiedCopiesSetNoLimit fails without.

--- a/pkg/budgeter/budgeter_test.go
+++ b/pkg/budgeter/budgeter_test.go
@@ -147,3 +147,25 @@
 		assert.Assert(t, out.value >= float64(out.requests)-40, "%.0f of %d timely", out.value, out.requests)
 	}
 }
+
+// TestMisclassifiedCopiesSetNoLimit guards against loads from engines' own copies that are reported as transfers, as by
+// sidecars that have just started. They made all transfers look slowed, and the limit fell to its least value.
+func TestMisclassifiedCopiesSetNoLimit(t *testing.T) {
+	for _, copiesInTen := range []int{1, 3, 5, 7} {
+		b := budgeter.New[string](budgeter.Config{})
+		now := time.Second
+		for i := range 400 {
+			took := time.Duration(250+i%20) * time.Millisecond
+			if i%10 < copiesInTen {
+				took = 40 * time.Millisecond
+			}
+			adapters := []string{"a", "b", "c", "d", "e", "f"}
+			b = b.WithLoading("engine", adapters, now)
+			now += took
+			b = b.WithFinished(budgeter.Load[string]{Adapter: "a", Engine: "engine"}, took, now)
+			b = b.WithLoading("engine", nil, now)
+		}
+		assert.Equal(t, b.Limit(), 0.0, "%d copies in ten loads", copiesInTen)
+		assert.Assert(t, b.BaseTime() >= 240*time.Millisecond, "base %v with %d copies in ten loads", b.BaseTime(), copiesInTen)
+	}
+}
--- a/pkg/budgeter/capacity.go
+++ b/pkg/budgeter/capacity.go
@@ -23,6 +23,12 @@
 	// blockSize is the number of transfers of which baseIndex, counted from the shortest, is taken as the duration at full
 	// speed, because a few durations may have been measured wrongly.
 	blockSize, baseIndex = 32, 3
+	// copyGap is the ratio between two successive durations of a block that separates loads from an engine's own copies,
+	// which take about a tenth, from transfers. At least minTransfers durations must lie above it, so that a few very slow
+	// transfers don't make all others look like copies.
+	copyGap, minTransfers = 3, 8
+	// minFloorFraction is the part of the median floor below which a floor is that of a block without transfers.
+	minFloorFraction = 0.4
 	// baseAge is how long such a duration counts. The shortest that counts is the base, which has to outlast the
 	// congestion that it is compared with. maxFloors bounds their number.
 	baseAge   = time.Minute
@@ -59,7 +65,7 @@
 func (c capacity) withSample(s sample, now time.Duration) capacity {
 	c = c.withDuration(s.took, now)
 	base := c.base
-	if base == 0 || s.inFlight < 1 {
+	if base == 0 || s.inFlight < 1 || float64(s.took) < minFloorFraction*float64(base) {
 		return c
 	}
 	if c.limit == 0 {
@@ -109,9 +115,29 @@
 		return c
 	}
 	slices.Sort(c.block)
-	floors := append(slices.Clone(c.floors[max(0, len(c.floors)-maxFloors+1):]), floor{took: c.block[baseIndex], at: now})
+	transfers := withoutCopies(c.block)
+	floors := append(slices.Clone(c.floors[max(0, len(c.floors)-maxFloors+1):]), floor{took: transfers[min(baseIndex, len(transfers)-1)], at: now})
 	c.floors = slices.DeleteFunc(floors, func(f floor) bool { return now-f.at > baseAge })
-	c.base = slices.MinFunc(c.floors, func(x, y floor) int { return cmp.Compare(x.took, y.took) }).took
+	c.base = leastFloor(c.floors)
 	c.block = nil
 	return c
 }
+
+// withoutCopies returns the sorted durations without those of loads that were taken for transfers although they used an
+// engine's own copies. A sidecar can't tell them apart before it has seen several loads.
+func withoutCopies(sorted []time.Duration) []time.Duration {
+	for i := len(sorted) - minTransfers; i > 0; i-- {
+		if sorted[i] >= copyGap*sorted[i-1] {
+			return sorted[i:]
+		}
+	}
+	return sorted
+}
+
+// leastFloor returns the shortest floor, except for those that are much shorter than most.
+func leastFloor(floors []floor) time.Duration {
+	sorted := slices.SortedFunc(slices.Values(floors), func(x, y floor) int { return cmp.Compare(x.took, y.took) })
+	least := time.Duration(minFloorFraction * float64(sorted[len(sorted)/2].took))
+	i := slices.IndexFunc(sorted, func(f floor) bool { return f.took >= least })
+	return sorted[i].took
+}
