Evacuated domains as a metric in standalone mode; shared test set-up

Entries of standalone fleets showed evacuated domains in status and the log only, while the processes on the users' platform already exported a gauge. The tests of evacuations and of waits for adapters share the configuration of engines.

--- a/internal/forwarder/evacuation_test.go
+++ b/internal/forwarder/evacuation_test.go
@@ -25,14 +25,6 @@
 	f.SetEndpoints(list)
 }
 
-func evacuate(domains ...string) map[string]bool {
-	set := map[string]bool{}
-	for _, domain := range domains {
-		set[domain] = true
-	}
-	return set
-}
-
 // TestEvacuatedDomainGetsNoRequests guards against a new request, a retry, a resumed stream or the use of a pooled connection
 // in an evacuated failure domain, against a broken response there, against a request that is held although no endpoint is
 // left, and against an evacuation that doesn't end.
@@ -65,13 +57,13 @@
 	<-started
 	f.setDomains(a, b)
 	before := a.count()
-	f.SetEvacuated(evacuate("a"))
+	f.SetEvacuated(map[string]bool{"a": true})
 	for range 8 {
 		assert.Equal(t, f.send(t, "/once/", "").status, 200)
 	}
 	assert.Equal(t, f.send(t, "/again/", "").status, 503)
 	assert.Assert(t, f.send(t, "/resume/", "").err != nil)
-	f.SetEvacuated(evacuate("a", "b"))
+	f.SetEvacuated(map[string]bool{"a": true, "b": true})
 	none := f.send(t, "/once/", "")
 	assert.Equal(t, none.status, 503)
 	assert.Assert(t, none.header.Get("Retry-After") != "")
@@ -80,7 +72,7 @@
 	got := <-running
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, streamText(1, 2))
-	f.SetEvacuated(evacuate("b"))
+	f.SetEvacuated(map[string]bool{"b": true})
 	assert.Equal(t, f.send(t, "/once/", "").status, 200)
 	assert.Equal(t, a.count(), before+1)
 }
@@ -101,7 +93,7 @@
 func TestEvacuationWhileConnectingStopsTheSend(t *testing.T) {
 	a := newEndpoint(t, "a", ok)
 	var f *fixture
-	f = newFixtureWith(t, evacuatingTranslator{evacuate: func() { f.SetEvacuated(evacuate("a")) }}, longRunningClock(), a)
+	f = newFixtureWith(t, evacuatingTranslator{evacuate: func() { f.SetEvacuated(map[string]bool{"a": true}) }}, longRunningClock(), a)
 	f.setDomains(a)
 	assert.Equal(t, f.send(t, "/once/", "").status, 503)
 	assert.Equal(t, a.count(), 0)
@@ -113,14 +105,7 @@
 	a := newEndpoint(t, "a", ok)
 	var demands atomic.Int64
 	f := newFixtureWithConfig(t, func(c *forwarder.Config) { c.Demand = func(string) { demands.Add(1) } }, a)
-	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
-		Version: 2,
-		Routes: []registrar.Route{{
-			Name: "model", Host: "h", Prefix: "/model/", Kind: registrar.Once, Timeout: 20 * time.Second, Attempts: 1, Open: true,
-			Targets: []registrar.Target{{Service: "s", Weight: 1}},
-		}},
-		Services: []registrar.Service{{Name: "s", Engine: &registrar.Engine{Batch: 4, AdapterSlots: 2}}},
-	}))
+	f.useEngines()
 	f.setDomains(a)
 	end := make(chan reply)
 	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a1") }()
@@ -130,7 +115,7 @@
 		}
 		return poll.Continue("the adapter is not wanted yet")
 	}, poll.WithTimeout(20*time.Second))
-	f.SetEvacuated(evacuate("a"))
+	f.SetEvacuated(map[string]bool{"a": true})
 	before := demands.Load()
 	assert.Equal(t, (<-end).status, 503)
 	assert.Assert(t, demands.Load() <= before+2, "%d demands after the evacuation", demands.Load()-before)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -642,12 +642,8 @@
 	assert.Equal(t, newFixture(t).send(t, "/short/", "").status, 503)
 }
 
-// TestAdapterIsAwaited guards against sending a request to an engine that lacks the adapter, and against not sending it
-// once the adapter is resident.
-func TestAdapterIsAwaited(t *testing.T) {
-	e := newEndpoint(t, "e", ok)
-	f := newFixture(t, e)
-	key := registrar.AdapterKey{Model: "base", Adapter: "a1"}
+// useEngines makes the endpoints of the service engines with adapters, for requests to /model/.
+func (f *fixture) useEngines() {
 	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
 		Version: 2,
 		Routes: []registrar.Route{{
@@ -656,6 +652,15 @@
 		}},
 		Services: []registrar.Service{{Name: "s", Engine: &registrar.Engine{Batch: 4, AdapterSlots: 2}}},
 	}))
+}
+
+// TestAdapterIsAwaited guards against sending a request to an engine that lacks the adapter, and against not sending it
+// once the adapter is resident.
+func TestAdapterIsAwaited(t *testing.T) {
+	e := newEndpoint(t, "e", ok)
+	f := newFixture(t, e)
+	key := registrar.AdapterKey{Model: "base", Adapter: "a1"}
+	f.useEngines()
 	f.SetEndpoints([]registrar.Endpoint{e.registered("s")})
 	end := make(chan reply)
 	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", key.String()) }()
--- a/internal/launcher/evacuation_test.go
+++ b/internal/launcher/evacuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -95,11 +96,13 @@
 			}
 		}
 	}()
-	f.eventually("the request waits for a load", func() bool {
-		_, metrics := f.do("GET", "http://"+f.Entries()[0].Address()+"/metrics", "", "", nil)
-		return strings.Contains(metrics, "geraniumladder_load_stalls_total{")
-	})
+	metrics := func() string {
+		_, text := f.do("GET", "http://"+f.Entries()[0].Address()+"/metrics", "", "", nil)
+		return text
+	}
+	f.eventually("the request waits for a load", func() bool { return strings.Contains(metrics(), "geraniumladder_load_stalls_total{") })
 	f.evacuate("domain-a")
+	assert.Assert(t, regexp.MustCompile(`(?m)^geraniumladder_evacuated_domains\{.*\} 1$`).MatchString(metrics()))
 	f.eventually("the request is rejected", func() bool { return len(end) > 0 })
 	assert.Assert(t, strings.Contains(<-end, `"evacuated"`))
 }
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -139,6 +139,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := base.meter.EvacuatedDomains(func() int { return len(follower.Current().EvacuatedDomains()) }); err != nil {
+		return nil, err
+	}
 	e.router = router.New(router.Config{
 		Settings: settings, Incarnation: incarnation, AdvertiseAddress: base.advertisedAddress, Platform: base.platform,
 		Messenger: base.messenger, Signer: base.signer, Follower: follower, Lender: tokenLender, Meter: base.meter, Log: log,
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -111,6 +111,12 @@
 	return errors.Wrap(err, "register the gauge")
 }
 
+// EvacuatedDomains registers the gauge of the evacuated failure domains. count is called at each collection.
+func (m *Meter) EvacuatedDomains(count func() int) error {
+	return m.Gauge("geraniumladder.evacuated.domains", "{domain}", "Failure domains that are evacuated as far as the process knows.",
+		func() float64 { return float64(count()) })
+}
+
 // optionsFor returns the options that label a measurement with the organisation. They are slices, so that passing them
 // to a variadic parameter does not allocate.
 func (m *Meter) optionsFor(organisation string) measurementOptions {
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -156,7 +156,7 @@
 	}
 	e := &Entry{config: c, log: c.Log, gossiper: g, meter: instruments, boot: g.NextStamp().Boot}
 	e.tuning.Store(&c.Tuning)
-	if err := registerEvacuationGauge(instruments, e.evacuation.Load); err != nil {
+	if err := instruments.EvacuatedDomains(func() int { return e.evacuation.Load().count() }); err != nil {
 		return nil, err
 	}
 	e.sharer = sharer.New(sharer.Config{
--- a/internal/resident/evacuation.go
+++ b/internal/resident/evacuation.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 
-	"geraniumladder/internal/meter"
 	"geraniumladder/internal/wire"
 )
 
@@ -16,13 +15,12 @@
 
 func (v *evacuation) isEvacuated(domain string) bool { return v != nil && v.domains[domain] }
 
-func registerEvacuationGauge(m *meter.Meter, load func() *evacuation) error {
-	return m.Gauge("geraniumladder.evacuated.domains", "{domain}", "Failure domains that are evacuated as far as the process knows.", func() float64 {
-		if v := load(); v != nil {
-			return float64(len(v.domains))
-		}
+// count returns the number of evacuated domains.
+func (v *evacuation) count() int {
+	if v == nil {
 		return 0
-	})
+	}
+	return len(v.domains)
 }
 
 // setEvacuation applies the evacuated failure domains, and tells all sidecars at once if they have changed.
--- a/internal/resident/sidecar.go
+++ b/internal/resident/sidecar.go
@@ -77,7 +77,7 @@
 	}
 	s := &Sidecar{config: c, log: c.Log, gossiper: g, meter: instruments}
 	s.tuning.Store(&c.Tuning)
-	if err := registerEvacuationGauge(instruments, s.evacuation.Load); err != nil {
+	if err := instruments.EvacuatedDomains(func() int { return s.evacuation.Load().count() }); err != nil {
 		return nil, err
 	}
 	s.operators = registrar.NewFollower(registrar.FollowerConfig{
