Sidecars and stand-ins: reports of endpoints in standalone mode

A model engine or plain service that says in its responses that it leaves, or wants no requests for a while, got more requests from its sidecar, and callers waited up to five seconds for an endpoint or used up the retry budget.

The sidecar reads Server-Leaving and Retry-After from all responses of its endpoint, refuses what has not started with the code leaving or closed and the remaining time, and recognises the next run. Entries leave closed endpoints out and answer endpoint_closed with the end of the first closure when all are closed. The stand-ins have the faults RetryAfter and Leaving. The decoding of the two headers is now in pkg/attester, which the users' platform uses as well.

TestServiceReportsAreHeeded and TestEngineReportsAreHeeded pass; taken out one by one, eight of nine guards make one of them fail (the refusal at the last rejection in recordClosure is not covered). With -race pkg/attester, internal/forwarder, internal/dispatcher, internal/emulator and internal/meter pass.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 	"geraniumladder/internal/meter"
 	"geraniumladder/internal/storer"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/attester"
 	"geraniumladder/pkg/claimer"
 	"geraniumladder/pkg/leaser"
 	"geraniumladder/pkg/pinner"
@@ -116,6 +117,11 @@
 	// stays set after the first time.
 	ready, everReady bool
 	leaving          bool
+	// reports holds what the runs of the endpoint have reported in responses. endpointRun is the number of the present run.
+	reports     attester.Attester[int]
+	endpointRun int
+	// malformed counts the malformed headers in responses.
+	malformed uint
 	// loadSequence numbers the load reports.
 	loadSequence int64
 	// revision is the newest configuration revision observed, and revisionSeenAt is when it was first observed. proof
@@ -176,6 +182,7 @@
 		entries:            newEntryList(),
 		proof:              wire.Freshness{AgeMs: -1},
 		goroutineDone:      make(chan struct{}),
+		reports:            attester.New[int](attester.Config{}),
 	}
 	d.work, d.stopWork = context.WithCancel(context.Background())
 	d.guard = claimer.NewGuard(claimer.GuardConfig{Incarnation: d.incarnation, Remember: s.Remember, MaxLifetime: maxRunDuration})
@@ -190,12 +197,12 @@
 		LongPromptTokens: longPromptTokens,
 	})
 	if s.Endpoint.Kind == kindModel {
-		d.engine = newEngine(s.Endpoint.URL)
+		d.engine = newEngine(s.Endpoint.URL, d.reading)
 		d.lease = newLeaseManager(c.Platform, leaser.Config{
 			Name: s.VM, Holder: d.incarnation, TTL: s.LeaseTTL, RenewEvery: s.LeaseTTL / 3,
 		}, d.elapsed, c.Log)
 	} else {
-		d.service = newService(s.Endpoint.URL)
+		d.service = newService(s.Endpoint.URL, d.reading)
 		d.ready = true
 	}
 	return d
@@ -298,6 +305,10 @@
 	switch {
 	case d.leaving:
 		return newRefusal(h, wire.RunErrorCodeLeaving, wire.RunErrorOutcomeNotRun, "the endpoint is leaving; send the request elsewhere")
+	case d.reports.IsLeaving(d.endpointRun):
+		return newRefusal(h, wire.RunErrorCodeLeaving, wire.RunErrorOutcomeNotRun, messageLeaving)
+	case d.closedFor() > 0:
+		return d.newClosedRefusal(h)
 	case !d.ready:
 		return newRefusal(h, wire.RunErrorCodeStarting, wire.RunErrorOutcomeNotRun, "the endpoint is starting; send the request elsewhere")
 	case h.Revision < d.revision && d.now().Sub(d.revisionSeenAt) > staleRevisionGracePeriod:
@@ -379,7 +390,11 @@
 		d.queue = d.queue.WithServiceCorrection(r.header.Organisation, -r.request.Charged)
 	}
 	r.expiresAt = now + responseRetention
-	r.response.end(newRefusal(r.header, code, wire.RunErrorOutcomeNotRun, message))
+	refusal := newRefusal(r.header, code, wire.RunErrorOutcomeNotRun, message)
+	if code == wire.RunErrorCodeClosed {
+		refusal = d.newClosedRefusal(r.header)
+	}
+	r.response.end(refusal)
 }
 
 // start sends a request to the endpoint. The caller holds the lock, and the adapter is pinned.
--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -42,7 +42,7 @@
 	client *http.Client
 }
 
-func newEngine(url string) *engine {
+func newEngine(url string, wrap func(http.RoundTripper) http.RoundTripper) *engine {
 	transport := &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 		DisableCompression: true,
@@ -51,7 +51,7 @@
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &engine{url: strings.TrimSuffix(url, "/"), client: &http.Client{Transport: transport}}
+	return &engine{url: strings.TrimSuffix(url, "/"), client: &http.Client{Transport: wrap(transport)}}
 }
 
 // resident returns the adapters loaded at the engine.
--- a/internal/dispatcher/leave_test.go
+++ b/internal/dispatcher/leave_test.go
@@ -63,9 +63,14 @@
 
 // run sends a request for the service to the sidecar.
 func run(t *testing.T, d *dispatcher.Dispatcher, client *messenger.Messenger, address string) (*http.Response, error) {
+	t.Helper()
+	return runAs(t, d, client, address, "r1")
+}
+
+func runAs(t *testing.T, d *dispatcher.Dispatcher, client *messenger.Messenger, address, id string) (*http.Response, error) {
 	t.Helper()
 	header, err := json.Marshal(wire.RunHeader{
-		RequestID: "r1", Attempt: 1, Incarnation: d.Incarnation(), Organisation: "o", Weight: 1, RemainingMs: 60_000,
+		RequestID: id, Attempt: 1, Incarnation: d.Incarnation(), Organisation: "o", Weight: 1, RemainingMs: 60_000,
 	})
 	assert.NilError(t, err)
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, dispatcher.RunPath, http.NoBody)
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -12,8 +12,11 @@
 // restarted or the outcome of an order was unknown.
 func (d *Dispatcher) checkResidency(ctx context.Context) {
 	d.mu.Lock()
-	loadEvents := d.loadEvents
+	loadEvents, isClosed := d.loadEvents, d.closedFor() > 0
 	d.mu.Unlock()
+	if isClosed {
+		return
+	}
 	resident, err := d.engine.resident(ctx, d.config.Settings.Endpoint.BaseModel)
 	_, leaseHeld := d.lease.held()
 	d.mu.Lock()
@@ -47,14 +50,19 @@
 	}
 	d.ready = false
 	d.log.Warn().Msg("sidecar: engine does not answer")
+	d.rejectWaiting(wire.RunErrorCodeStarting, "the engine does not answer; send the request elsewhere")
+	d.requestHeartbeat()
+}
+
+// rejectWaiting ends all requests that have not started.
+func (d *Dispatcher) rejectWaiting(code wire.RunErrorCode, message string) {
 	for _, r := range d.runs {
 		if r.expiresAt == 0 && !r.running {
 			d.queue = d.queue.Without(r.key)
 			d.removeSlotWaiter(r)
-			d.rejectRun(r, wire.RunErrorCodeStarting, "the engine does not answer; send the request elsewhere")
+			d.rejectRun(r, code, message)
 		}
 	}
-	d.requestHeartbeat()
 }
 
 // resetSlots replaces the slots with the engine's report. Running requests whose adapter is still resident keep a pin.
@@ -150,7 +158,8 @@
 	switch {
 	case d.leaving:
 		return wire.HeartbeatStateLeaving
-	case !d.ready:
+	case !d.ready, d.reports.IsLeaving(d.endpointRun):
+		// A sidecar's own leaving state is final, but the next run of its endpoint takes requests again.
 		return wire.HeartbeatStateStarting
 	}
 	return wire.HeartbeatStateLive
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -230,6 +230,8 @@
 	if d.engine != nil {
 		// The lease loop returns after the lease has been released.
 		loops = append(loops, looper.Every(residencyPollInterval, d.checkResidency), d.lease.run)
+	} else {
+		loops = append(loops, looper.Every(residencyPollInterval, d.checkServiceRun))
 	}
 	return looper.Run(ctx, loops...)
 }
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -33,7 +33,7 @@
 	client *http.Client
 }
 
-func newService(url string) *service {
+func newService(url string, wrap func(http.RoundTripper) http.RoundTripper) *service {
 	transport := &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 		DisableCompression: true,
@@ -44,7 +44,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &service{url: strings.TrimSuffix(url, "/"), client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	return &service{url: strings.TrimSuffix(url, "/"), client: &http.Client{Transport: wrap(transport), CheckRedirect: noRedirect}}
 }
 
 // call sends a request to the service and writes its response to out.
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -58,6 +59,10 @@
 	FailRate float64
 	// FailNext is the number of subsequent requests that fail with status 503 without being processed.
 	FailNext int
+	// RetryAfter is the Retry-After value of the responses that FailRate and FailNext cause.
+	RetryAfter Duration
+	// Leaving adds Server-Leaving: 1 to all responses.
+	Leaving bool
 	// LoseAnswerNext is the number of subsequent write requests that are processed, but whose connection is closed
 	// without a response.
 	LoseAnswerNext int
@@ -205,7 +210,9 @@
 	silent       bool
 	fail         bool
 	dropResponse bool
+	leaving      bool
 	latency      time.Duration
+	retryAfter   time.Duration
 }
 
 func connectionOf(r *http.Request) connection {
@@ -218,7 +225,9 @@
 func (c *faultInjector) decide(r *http.Request, s RequestRecord, probe bool) decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := decision{processCtx: c.processCtx, down: c.faults.Down, latency: time.Duration(c.faults.Latency)}
+	v := decision{processCtx: c.processCtx, down: c.faults.Down, latency: time.Duration(c.faults.Latency),
+		leaving: c.faults.Leaving, retryAfter: time.Duration(c.faults.RetryAfter),
+	}
 	v.silent = c.isSilentLocked(connectionOf(r))
 	if !v.down && !v.silent && !probe {
 		switch {
@@ -289,7 +298,13 @@
 		if sleep(ctx, v.latency) != nil {
 			abortConnection()
 		}
+		if v.leaving {
+			e.Response().Header().Set("Server-Leaving", "1")
+		}
 		if v.fail {
+			if v.retryAfter > 0 {
+				e.Response().Header().Set("Retry-After", strconv.FormatFloat(v.retryAfter.Seconds(), 'f', 3, 64))
+			}
 			return e.JSON(http.StatusServiceUnavailable, newErrorBody(http.StatusServiceUnavailable, "a set fault makes this request fail; it was not run"))
 		}
 		e.SetRequest(r.WithContext(ctx))
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumladder/internal/registrar"
+	"geraniumladder/pkg/attester"
 )
 
 // PromptPart is a segment of a prompt. Requests whose prompts start with the same segments can share cached prefixes.
@@ -74,13 +75,8 @@
 	// set.
 	RequestLimit float64
 	HasLimit     bool
-	// IsLeaving means that the endpoint is leaving and takes no new requests.
-	IsLeaving bool
-	// Closed is the time for which the endpoint wants no requests from this VM, if HasClosed is set.
-	Closed    time.Duration
-	HasClosed bool
-	// Malformed names the header that was ignored because its value is malformed; empty if there was none.
-	Malformed string
+	// Report is what the endpoint says of itself.
+	attester.Report
 }
 
 // Translator decodes and encodes the headers that callers and endpoints use.
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -117,9 +118,10 @@
 	request := r.placementRequest(cl)
 	waitDeadline := r.now().Add(min(endpointWaitTimeout, cl.remaining(r.now())))
 	for {
-		request.Exclude = h.excluded
 		r.mu.Lock()
 		now := r.elapsed()
+		closed, reopensAfter := r.closedEndpoints(request, now)
+		request.Exclude = slices.Concat(closed, h.excluded)
 		decision, err := placer.Choose(placer.ExpectedTime{}, r.view, request, r.rng, now)
 		if err == nil {
 			endpoint, _ := r.view.Endpoint(decision.Endpoint)
@@ -128,6 +130,9 @@
 			return endpoint, decision, nil
 		}
 		r.mu.Unlock()
+		if reopensAfter > 0 {
+			return placer.Endpoint{}, placer.Decision{}, h.withOutcome(closedError(reopensAfter))
+		}
 		if r.now().After(waitDeadline) {
 			return placer.Endpoint{}, placer.Decision{}, h.withOutcome(unavailable("no_endpoint", err.Error()))
 		}
@@ -229,6 +234,10 @@
 		case wire.RunErrorCodeLeaving, wire.RunErrorCodeStarting, wire.RunErrorCodeWrongIncarnation:
 			h.excluded = append(h.excluded, d.endpoint.VM)
 			return r.sleep(ctx, correctionDelay)
+		case wire.RunErrorCodeClosed:
+			if failure := r.recordClosure(cl, d.endpoint, *res.runError); failure != nil {
+				return failure
+			}
 		case wire.RunErrorCodeLoadFailed:
 			if h.loadFailed++; h.loadFailed > 1 {
 				return unavailable("load_failed", "the adapter could not be loaded on two endpoints; send the request again")
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -183,6 +183,7 @@
 		r.members = r.members.WithList(listed, now)
 	}
 	r.members = r.members.WithoutForgotten(now)
+	r.reports = r.reports.WithoutExpired(func(string) bool { return false }, now)
 	r.refreshStates(now)
 	r.view = r.view.WithEntries(reachable + 1)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,7 @@
 	"geraniumladder/internal/meter"
 	"geraniumladder/internal/storer"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/attester"
 	"geraniumladder/pkg/limiter"
 	"geraniumladder/pkg/placer"
 	"geraniumladder/pkg/retrier"
@@ -83,9 +84,11 @@
 	mu sync.Mutex
 	// members and view are immutable values that are replaced as a whole. viewStates holds the member states last
 	// applied to view.
-	members     tracker.Table[wire.Descriptor]
-	view        placer.View
-	viewStates  map[string]tracker.State
+	members    tracker.Table[wire.Descriptor]
+	view       placer.View
+	viewStates map[string]tracker.State
+	// reports holds what endpoints have reported in rejections, by VM and incarnation of the sidecar.
+	reports     attester.Attester[string]
 	retryBudget retrier.Retrier
 	rng         *rand.Rand
 	// calls holds the calls in progress, by request ID.
@@ -115,6 +118,7 @@
 			HeartbeatEvery: c.Settings.Heartbeat, ProtocolMin: protocolVersion, ProtocolMax: protocolVersion,
 		}),
 		viewStates:   map[string]tracker.State{},
+		reports:      attester.New[string](attester.Config{}),
 		retryBudget:  retrier.New(retrier.Config{Constant: minRetryBudget}),
 		rng:          rand.New(rand.NewPCG(c.Seed, c.Seed+1)),
 		calls:        map[string]*activeCall{},
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -117,6 +117,7 @@
 // Defines values for RunErrorCode.
 const (
 	RunErrorCodeBadRequest       RunErrorCode = "bad-request"
+	RunErrorCodeClosed           RunErrorCode = "closed"
 	RunErrorCodeDeadline         RunErrorCode = "deadline"
 	RunErrorCodeEngineFailed     RunErrorCode = "engine-failed"
 	RunErrorCodeIncompatible     RunErrorCode = "incompatible"
@@ -137,6 +138,8 @@
 	switch e {
 	case RunErrorCodeBadRequest:
 		return true
+	case RunErrorCodeClosed:
+		return true
 	case RunErrorCodeDeadline:
 		return true
 	case RunErrorCodeEngineFailed:
@@ -665,11 +668,13 @@
 
 // RunError Body of a sidecar's refusal or failure.
 type RunError struct {
-	Code         RunErrorCode    `json:"Code"`
-	Message      string          `json:"Message"`
-	Outcome      RunErrorOutcome `json:"Outcome"`
-	RequestID    string          `json:"RequestId"`
-	RetryAfterMs *int64          `json:"RetryAfterMs,omitempty"`
+	Code      RunErrorCode    `json:"Code"`
+	Message   string          `json:"Message"`
+	Outcome   RunErrorOutcome `json:"Outcome"`
+	RequestID string          `json:"RequestId"`
+
+	// RetryAfterMs With the code closed, the time for which the endpoint wants no requests.
+	RetryAfterMs *int64 `json:"RetryAfterMs,omitempty"`
 }
 
 // RunErrorCode defines model for RunError.Code.
--- a/pkg/attester/attester.go
+++ b/pkg/attester/attester.go
@@ -15,6 +15,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -96,10 +97,13 @@
 	return a
 }
 
+// IsEmpty reports whether no endpoint has reported anything, so that all may be used.
+func (a Attester[K]) IsEmpty() bool { return len(a.reports) == 0 }
+
 // Availability reports whether the endpoint may be used. If not, it returns the time after which it may be, or 0 if the
 // endpoint is leaving and won't be usable again.
 func (a Attester[K]) Availability(endpoint K, now time.Duration) (ok bool, after time.Duration) {
-	if len(a.reports) == 0 {
+	if a.IsEmpty() {
 		return true, 0
 	}
 	switch r := a.reports[endpoint]; {
@@ -164,6 +168,42 @@
 // Ignore is the baseline: it uses every endpoint at any time, as before the reports were read.
 func Ignore[K cmp.Ordered](Attester[K], K, time.Duration) (bool, time.Duration) { return true, 0 }
 
+// Report is what one response says of the endpoint that sent it.
+type Report struct {
+	// IsLeaving means that the endpoint is leaving and takes no new requests.
+	IsLeaving bool
+	// Closed is the time for which the endpoint wants no requests from the receiver's VM, if HasClosed is set.
+	Closed    time.Duration
+	HasClosed bool
+	// Malformed names the header that was ignored because its value is malformed; empty if there was none.
+	Malformed string
+}
+
+const (
+	headerLeaving    = "Server-Leaving"
+	headerRetryAfter = "Retry-After"
+)
+
+// Decode returns the report of a response with the status and header. Retry-After counts only with status 503.
+func Decode(status int, h http.Header) Report {
+	var r Report
+	switch h.Get(headerLeaving) {
+	case "1":
+		r.IsLeaving = true
+	case "", "0":
+	default:
+		r.Malformed = headerLeaving
+	}
+	if text := h.Get(headerRetryAfter); text != "" && status == http.StatusServiceUnavailable {
+		var err error
+		if r.Closed, err = ParseSeconds(text); err != nil {
+			r.Malformed = headerRetryAfter
+		}
+		r.HasClosed = err == nil
+	}
+	return r
+}
+
 // ParseSeconds parses the number of seconds of a Retry-After header, which may have a fraction. A date is an error,
 // because the processes' clocks may differ by any amount. A number that is too large for a Duration gives the largest one.
 func ParseSeconds(text string) (time.Duration, error) {
