Forwarder tests share the model route and the wait for a demand

Three tests had the same configuration and the same loop written out, which made the new test of reports longer than what it checks.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -643,12 +643,8 @@
 	assert.Equal(t, newFixture(t).send(t, "/short/", "").status, 503)
 }
 
-// TestAdapterIsAwaited guards against sending a request to an engine that lacks the adapter, and against not sending it
-// once the adapter is resident.
-func TestAdapterIsAwaited(t *testing.T) {
-	e := newEndpoint(t, "e", ok)
-	f := newFixture(t, e)
-	key := registrar.AdapterKey{Model: "base", Adapter: "a1"}
+// setModelRoute replaces the routes by one to a model engine with two adapter slots.
+func (f *fixture) setModelRoute() {
 	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
 		Version: 2,
 		Routes: []registrar.Route{{
@@ -657,6 +653,26 @@
 		}},
 		Services: []registrar.Service{{Name: "s", Engine: &registrar.Engine{Batch: 4, AdapterSlots: 2}}},
 	}))
+}
+
+// awaitDemand waits until an adapter is wanted at the first endpoint.
+func (f *fixture) awaitDemand(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(f.Demands("")[0].Message.Wanted) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the adapter is not wanted yet")
+	}, poll.WithTimeout(20*time.Second))
+}
+
+// TestAdapterIsAwaited guards against sending a request to an engine that lacks the adapter, and against not sending it
+// once the adapter is resident.
+func TestAdapterIsAwaited(t *testing.T) {
+	e := newEndpoint(t, "e", ok)
+	f := newFixture(t, e)
+	key := registrar.AdapterKey{Model: "base", Adapter: "a1"}
+	f.setModelRoute()
 	f.SetEndpoints([]registrar.Endpoint{e.registered("s")})
 	end := make(chan reply)
 	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", key.String()) }()
@@ -682,25 +698,13 @@
 func TestWaitingRequestAvoidsLeavingEndpoint(t *testing.T) {
 	leaving, remaining := newEndpoint(t, "leaver", ok), newEndpoint(t, "stays", ok)
 	f := newFixture(t, leaving)
-	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
-		Version: 2,
-		Routes: []registrar.Route{{
-			Name: "model", Host: "h", Prefix: "/model/", Kind: registrar.Once, Timeout: 20 * time.Second, Attempts: 1, Open: true,
-			Targets: []registrar.Target{{Service: "s", Weight: 1}},
-		}},
-		Services: []registrar.Service{{Name: "s", Engine: &registrar.Engine{Batch: 4, AdapterSlots: 2}}},
-	}))
+	f.setModelRoute()
 	held := []registrar.HeldModel{{Name: "base", Version: 1, Adapters: []registrar.HeldAdapter{{Name: "a1", Version: 1}}}}
 	first := leaving.registered("s")
 	f.SetEndpoints([]registrar.Endpoint{first})
 	end := make(chan reply)
 	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a1") }()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if len(f.Demands("")[0].Message.Wanted) == 1 {
-			return poll.Success()
-		}
-		return poll.Continue("the adapter is not wanted yet")
-	}, poll.WithTimeout(20*time.Second))
+	f.awaitDemand(t)
 	second := remaining.registered("s")
 	second.Models = held
 	first.IsLeaving = true
--- a/internal/forwarder/reports_test.go
+++ b/internal/forwarder/reports_test.go
@@ -205,23 +205,11 @@
 func TestReportEndsWaitForAdapter(t *testing.T) {
 	a, b := newEndpoint(t, "a", ok), newEndpoint(t, "b", ok)
 	f := newReportingFleet(t, nil, a)
-	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
-		Version: 2,
-		Routes: []registrar.Route{{
-			Name: "model", Host: "h", Prefix: "/model/", Kind: registrar.Once, Timeout: 20 * time.Second, Attempts: 1, Open: true,
-			Targets: []registrar.Target{{Service: "s", Weight: 1}},
-		}},
-		Services: []registrar.Service{{Name: "s", Engine: &registrar.Engine{Batch: 4, AdapterSlots: 2}}},
-	}))
+	f.setModelRoute()
 	f.SetEndpoints(f.listed)
 	end := make(chan reply)
 	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a1") }()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if len(f.Demands("")[0].Message.Wanted) == 1 {
-			return poll.Success()
-		}
-		return poll.Continue("the adapter is not wanted yet")
-	}, poll.WithTimeout(20*time.Second))
+	f.awaitDemand(t)
 	second := b.registered("s")
 	second.Models = []registrar.HeldModel{{Name: "base", Version: 1, Adapters: []registrar.HeldAdapter{{Name: "a1", Version: 1}}}}
 	f.SetEndpoints(append(f.listed, second))
