--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -644,7 +644,7 @@
 	assert.Equal(t, newFixture(t).send(t, "/short/", "").status, 503)
 }
 
-// useEngines makes the endpoints of the service engines with adapters, for requests to /model/.
+// useEngines replaces the routes by one to model engines with adapters, for requests to /model/.
 func (f *fixture) useEngines() {
 	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
 		Version: 2,
@@ -656,6 +656,17 @@
 	}))
 }
 
+// awaitDemand waits until an adapter is wanted at the first endpoint.
+func (f *fixture) awaitDemand(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(f.Demands("")[0].Message.Wanted) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the adapter is not wanted yet")
+	}, poll.WithTimeout(20*time.Second))
+}
+
 // TestAdapterIsAwaited guards against sending a request to an engine that lacks the adapter, and against not sending it
 // once the adapter is resident.
 func TestAdapterIsAwaited(t *testing.T) {
@@ -688,25 +699,13 @@
 func TestWaitingRequestAvoidsLeavingEndpoint(t *testing.T) {
 	leaving, remaining := newEndpoint(t, "leaver", ok), newEndpoint(t, "stays", ok)
 	f := newFixture(t, leaving)
-	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
-		Version: 2,
-		Routes: []registrar.Route{{
-			Name: "model", Host: "h", Prefix: "/model/", Kind: registrar.Once, Timeout: 20 * time.Second, Attempts: 1, Open: true,
-			Targets: []registrar.Target{{Service: "s", Weight: 1}},
-		}},
-		Services: []registrar.Service{{Name: "s", Engine: &registrar.Engine{Batch: 4, AdapterSlots: 2}}},
-	}))
+	f.useEngines()
 	held := []registrar.HeldModel{{Name: "base", Version: 1, Adapters: []registrar.HeldAdapter{{Name: "a1", Version: 1}}}}
 	first := leaving.registered("s")
 	f.SetEndpoints([]registrar.Endpoint{first})
 	end := make(chan reply)
 	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a1") }()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if len(f.Demands("")[0].Message.Wanted) == 1 {
-			return poll.Success()
-		}
-		return poll.Continue("the adapter is not wanted yet")
-	}, poll.WithTimeout(20*time.Second))
+	f.awaitDemand(t)
 	second := remaining.registered("s")
 	second.Models = held
 	first.IsLeaving = true
