Learn the transfer limit also when it starts in congestion

The limit falls while the durations of the last 64 loads follow the number in flight (elasticity above 0.85), until the true base shows. The loads in flight are a slice, and reports are applied without building sets.

A property test covers lost engines, pauses and requests that leave in any state.

--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -74,13 +74,15 @@
 		t.state = t.state.WithLoading(e.key, nil, now)
 	case s.Adapters != nil:
 		var loading []registrar.AdapterKey
-		for key := range adapterSet(s.Adapters.Loading) {
+		for _, name := range s.Adapters.Loading {
+			key := registrar.AdapterKey{Model: name.Model, Adapter: name.Adapter}
 			if key.Adapter != "" && !e.isWarm(key) {
 				loading = append(loading, key)
 			}
 			t.wake(key)
 		}
-		for key := range adapterSet(s.Adapters.Resident) {
+		for _, name := range s.Adapters.Resident {
+			key := registrar.AdapterKey{Model: name.Model, Adapter: name.Adapter}
 			if _, isHeld := e.resident[key]; !isHeld {
 				t.wake(key)
 			}
--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -89,7 +89,8 @@
 }
 
 // seenLoad is a load in the report of an engine.
-type seenLoad struct {
+type seenLoad[A comparable] struct {
+	Load[A]
 	since time.Duration
 	// work is the value of Budgeter.work when the load was first seen.
 	work float64
@@ -103,9 +104,8 @@
 	processes int
 	// isBlind means that fewer than half of the engines report, so the loads of other processes are unknown.
 	isBlind bool
-	// seen holds the transfers in the engines' reports, and inFlight their number.
-	seen     map[string]map[A]seenLoad
-	inFlight int
+	// seen holds the transfers in the engines' reports. It is a slice, because a report with a change copies it.
+	seen []seenLoad[A]
 	// work is the integral of the transfers in flight over time, in seconds, up to the time at.
 	work float64
 	at   time.Duration
@@ -141,15 +141,20 @@
 
 // InFlight returns the number of transfers in flight, including loads that this process has requested and not yet seen.
 func (b Budgeter[A]) InFlight() int {
-	n := b.inFlight + len(b.granted)
+	n := len(b.seen) + len(b.granted)
 	for l := range b.started {
-		if _, ok := b.seen[l.Engine][l.Adapter]; !ok {
+		if b.find(l) < 0 {
 			n++
 		}
 	}
 	return n
 }
 
+// find returns the index of the load in seen, or -1.
+func (b Budgeter[A]) find(l Load[A]) int {
+	return slices.IndexFunc(b.seen, func(s seenLoad[A]) bool { return s.Load == l })
+}
+
 // Waiting returns the number of adapters whose loads wait.
 func (b Budgeter[A]) Waiting() int { return len(b.waiting) }
 
@@ -165,36 +170,38 @@
 // WithLoading replaces the transfers in the report of one engine. Loads from the engine's own memory or disk are no
 // transfers.
 func (b Budgeter[A]) WithLoading(engine string, adapters []A, now time.Duration) Budgeter[A] {
-	old := b.seen[engine]
-	if len(adapters) == len(old) && !slices.ContainsFunc(adapters, func(a A) bool { _, ok := old[a]; return !ok }) {
+	kept := 0
+	isSame := true
+	for _, l := range b.seen {
+		if l.Engine == engine {
+			kept++
+			isSame = isSame && slices.Contains(adapters, l.Adapter)
+		}
+	}
+	if isSame && kept == len(adapters) {
 		return b
 	}
 	b = b.advanced(now)
-	next := make(map[A]seenLoad, len(adapters))
-	for _, a := range adapters {
-		if l, ok := old[a]; ok {
-			next[a] = l
-		} else {
-			next[a] = seenLoad{since: now, work: b.work}
+	next := make([]seenLoad[A], 0, len(b.seen)+len(adapters))
+	for _, l := range b.seen {
+		if l.Engine != engine || slices.Contains(adapters, l.Adapter) {
+			next = append(next, l)
 		}
 	}
-	b.inFlight += len(next) - len(old)
-	b.seen = maps.Clone(b.seen)
-	if b.seen == nil {
-		b.seen = map[string]map[A]seenLoad{}
-	}
-	b.seen[engine] = next
-	if len(next) == 0 {
-		delete(b.seen, engine)
+	for _, adapter := range adapters {
+		if l := (Load[A]{Adapter: adapter, Engine: engine}); b.find(l) < 0 {
+			next = append(next, seenLoad[A]{Load: l, since: now, work: b.work})
+		}
 	}
+	b.seen = next
 	return b
 }
 
 // WithEngines removes the transfers of all engines but those for which isKnown returns true.
 func (b Budgeter[A]) WithEngines(isKnown func(engine string) bool, now time.Duration) Budgeter[A] {
-	for engine := range b.seen {
-		if !isKnown(engine) {
-			b = b.WithLoading(engine, nil, now)
+	for _, l := range b.seen {
+		if !isKnown(l.Engine) {
+			b = b.WithLoading(l.Engine, nil, now)
 		}
 	}
 	return b
@@ -203,7 +210,7 @@
 // advanced brings work up to date.
 func (b Budgeter[A]) advanced(now time.Duration) Budgeter[A] {
 	if now > b.at {
-		b.work += float64(b.inFlight) * (now - b.at).Seconds()
+		b.work += float64(len(b.seen)) * (now - b.at).Seconds()
 		b.at = now
 	}
 	return b
@@ -212,12 +219,13 @@
 // WithFinished records the duration of a transfer. It must be called before WithLoading with the report in which the
 // transfer is no longer in flight. The transfer is ignored if its start has not been seen.
 func (b Budgeter[A]) WithFinished(l Load[A], took, now time.Duration) Budgeter[A] {
-	start, ok := b.seen[l.Engine][l.Adapter]
-	if !ok || took <= 0 {
+	i := b.find(l)
+	if i < 0 || took <= 0 {
 		return b
 	}
+	start := b.seen[i]
 	b = b.advanced(now)
-	inFlight := float64(b.inFlight)
+	inFlight := float64(len(b.seen))
 	if now > start.since {
 		inFlight = (b.work - start.work) / (now - start.since).Seconds()
 	}
@@ -445,7 +453,7 @@
 	if _, ok := b.waiting[l.Adapter]; ok {
 		ahead--
 	}
-	if _, ok := b.seen[l.Engine][l.Adapter]; ok || ahead <= 0 && b.places() > b.reserve() {
+	if b.find(l) >= 0 || ahead <= 0 && b.places() > b.reserve() {
 		return 0
 	}
 	turn := b.turn
--- a/pkg/budgeter/budgeter_test.go
+++ b/pkg/budgeter/budgeter_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"geraniumladder/pkg/budgeter"
 )
@@ -147,3 +148,91 @@
 		assert.Assert(t, out.value >= float64(out.requests)-40, "%.0f of %d timely", out.value, out.requests)
 	}
 }
+
+// TestLimitIsLearnedDuringCongestion replays twice what the store carries from the first second on: guards against a base
+// duration that is measured during congestion, so that slowed transfers pass for unslowed ones.
+func TestLimitIsLearnedDuringCongestion(t *testing.T) {
+	for seed := range uint64(3) {
+		out := replay{policy: budgeter.Learned, entries: 28, storeSize: 8, perSecond: 75, seed: seed}.run()
+		t.Logf("in flight mean %.1f, limit %.1f, value %.0f of %d", out.mean, out.limit, out.value, out.requests)
+		assert.Assert(t, out.limit < 12, "limit %.1f", out.limit)
+	}
+}
+
+// busy returns the budget of one of n processes that has learned a limit of about four.
+func busy(n int) (b budgeter.Budgeter[int], now time.Duration) {
+	b = budgeter.New[int](budgeter.Config{}).WithProcesses(n, false)
+	for i := range 48 {
+		loading, took := []int{i}, 100*time.Millisecond
+		for j := 1; i >= 32 && j < 16; j++ {
+			loading, took = append(loading, i+100*j), 400*time.Millisecond
+		}
+		b = b.WithLoading("e", loading, now)
+		now += took
+		b = b.WithFinished(budgeter.Load[int]{Adapter: i, Engine: "e"}, took, now)
+	}
+	return b.WithLoading("e", nil, now), now
+}
+
+// TestPlacesAreNeitherExceededNorLost plays random requests, reports, losses of engines and pauses: guards against starts
+// beyond the limit, and against places or requests that are forgotten when requests leave in any state.
+func TestPlacesAreNeitherExceededNorLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now := busy(rapid.IntRange(1, 30).Draw(t, "processes"))
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		limit, id := int(b.Limit()*1.125), uint64(0)
+		own := map[budgeter.Load[int]]bool{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rng.IntN(30)) * time.Millisecond
+			a, e := rng.IntN(12), string(rune('a'+rng.IntN(6)))
+			switch rng.IntN(8) {
+			case 0, 1, 2:
+				id++
+				b = b.WithRequest(a, budgeter.Request{ID: id, Since: now, Objective: now + time.Second, Deadline: now + 5*time.Second}, now)
+			case 3:
+				b = b.WithoutRequest(a, uint64(rng.IntN(int(id)+1)))
+			case 4:
+				b = b.WithLoading(e, rng.Perm(12)[:rng.IntN(3)], now)
+			case 5:
+				b = b.WithEngines(func(engine string) bool { return engine != e }, now)
+			case 6:
+				b = b.WithoutStart(budgeter.Load[int]{Adapter: a, Engine: e})
+				delete(own, budgeter.Load[int]{Adapter: a, Engine: e})
+			case 7:
+				now += time.Duration(rng.IntN(3000)) * time.Millisecond
+			}
+			before := b.InFlight()
+			var granted []int
+			b, granted = b.WithGrants(now, rng)
+			assert.Assert(t, len(granted) == 0 || b.InFlight() <= limit && b.InFlight() == before+len(granted))
+			for _, adapter := range granted {
+				if l := (budgeter.Load[int]{Adapter: adapter, Engine: e}); rng.IntN(4) > 0 {
+					b, own[l] = b.WithStart(l)
+				}
+			}
+		}
+		for l := range own {
+			b = b.WithoutStart(l)
+		}
+		b = b.WithEngines(func(string) bool { return false }, now)
+		left := b
+		for a := range 12 {
+			for i := range id + 1 {
+				left = left.WithoutRequest(a, i)
+			}
+		}
+		assert.Equal(t, left.Waiting()+left.InFlight(), 0)
+		// Without other loads, each waiting load gets its turn, or its requests leave.
+		for i := 0; b.Waiting() > 0; i++ {
+			assert.Assert(t, i < 20000, "%d adapters still wait", b.Waiting())
+			now += 20 * time.Millisecond
+			b, _ = b.WithGrants(now, rng)
+			for a := range 12 {
+				l := budgeter.Load[int]{Adapter: a, Engine: "a"}
+				b, _ = b.WithStart(l)
+				b = b.WithoutStart(l)
+			}
+		}
+		assert.Equal(t, b.InFlight(), 0)
+	})
+}
--- a/pkg/budgeter/capacity.go
+++ b/pkg/budgeter/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -27,6 +28,14 @@
 	// congestion that it is compared with. maxFloors bounds their number.
 	baseAge   = time.Minute
 	maxFloors = 64
+	// elasticityWindow is the number of transfers by which the dependence of the duration on the number in flight is
+	// measured, every elasticityInterval transfers. Above maxElasticity (0 at full speed, 1 in congestion) the base has been
+	// measured during congestion, and the limit is lowered by the factor elasticityStep until the true base shows.
+	// minSpread is the least variance of the logarithm of the number in flight, which is a deviation of 3%.
+	elasticityWindow, elasticityInterval = 64, 16
+	maxElasticity                        = 0.85
+	elasticityStep                       = 0.9
+	minSpread                            = 0.001
 )
 
 // sample is a finished transfer.
@@ -48,8 +57,9 @@
 	limit float64
 	// base is the duration of a transfer at full speed, and 0 while it is unknown.
 	base time.Duration
-	// recent holds the last firstWindow transfers while limit is 0.
+	// recent holds the last elasticityWindow transfers, and count is the number of all.
 	recent []sample
+	count  int
 	// block holds the durations since the last full block, and floors are those of full blocks, oldest first.
 	block  []time.Duration
 	floors []floor
@@ -62,8 +72,16 @@
 	if base == 0 || s.inFlight < 1 {
 		return c
 	}
+	c.recent = append(slices.Clone(c.recent[max(0, len(c.recent)-elasticityWindow+1):]), s)
+	c.count++
+	if len(c.recent) == elasticityWindow && c.count%elasticityInterval == 0 {
+		if inFlight, e := elasticity(c.recent); e > maxElasticity && inFlight >= max(c.minLimit, bindingFraction*c.limit) {
+			c.limit = max(c.minLimit, elasticityStep*cmp.Or(c.limit, inFlight))
+			return c
+		}
+	}
 	if c.limit == 0 {
-		return c.withFirst(s, base)
+		return c.withFirst()
 	}
 	switch {
 	case isCongested(s, base) && s.inFlight >= c.limit/2:
@@ -77,21 +95,35 @@
 }
 
 // withFirst sets the limit once enough of the last transfers were slowed.
-func (c capacity) withFirst(s sample, base time.Duration) capacity {
-	c.recent = append(slices.Clone(c.recent[max(0, len(c.recent)-firstWindow+1):]), s)
+func (c capacity) withFirst() capacity {
 	var estimates []float64
-	for _, r := range c.recent {
-		if isCongested(r, base) && r.inFlight >= c.minLimit {
-			estimates = append(estimates, estimate(r, base))
+	for _, r := range c.recent[max(0, len(c.recent)-firstWindow):] {
+		if isCongested(r, c.base) && r.inFlight >= c.minLimit {
+			estimates = append(estimates, estimate(r, c.base))
 		}
 	}
 	if len(estimates) >= firstCongested {
 		slices.Sort(estimates)
-		c.limit, c.recent = max(c.minLimit, estimates[len(estimates)/2]), nil
+		c.limit = max(c.minLimit, estimates[len(estimates)/2])
 	}
 	return c
 }
 
+// elasticity returns the mean number in flight and the relative change of the duration for a relative change of that
+// number, or 0 if the number hardly varied.
+func elasticity(list []sample) (inFlight, e float64) {
+	var x, y, xx, xy float64
+	n := float64(len(list))
+	for _, s := range list {
+		u, v := math.Log(s.inFlight), math.Log(s.took.Seconds())
+		inFlight, x, y, xx, xy = inFlight+s.inFlight/n, x+u/n, y+v/n, xx+u*u/n, xy+u*v/n
+	}
+	if spread := xx - x*x; spread > minSpread {
+		e = (xy - x*y) / spread
+	}
+	return inFlight, e
+}
+
 func isCongested(s sample, base time.Duration) bool {
 	return float64(s.took) > congestionRatio*float64(base)
 }
