--- a/pkg/budgeter/capacity.go
+++ b/pkg/budgeter/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -27,12 +28,21 @@
 	// which take about a tenth, from transfers. At least minTransfers durations must lie above it, so that a few very slow
 	// transfers don't make all others look like copies.
 	copyGap, minTransfers = 3, 8
-	// minFloorFraction is the part of the median floor below which a floor is that of a block without transfers.
-	minFloorFraction = 0.4
+	// minFloorFraction is the part of the base below which a duration is that of a load from a copy. The base may have been
+	// measured during congestion, so that durations somewhat below it are those of transfers.
+	minFloorFraction = 1.0 / 6
 	// baseAge is how long such a duration counts. The shortest that counts is the base, which has to outlast the
 	// congestion that it is compared with. maxFloors bounds their number.
 	baseAge   = time.Minute
 	maxFloors = 64
+	// elasticityWindow is the number of transfers by which the dependence of the duration on the number in flight is
+	// measured, every elasticityInterval transfers. Above maxElasticity (0 at full speed, 1 in congestion) the base has been
+	// measured during congestion, and the limit is lowered by the factor elasticityStep until the true base shows.
+	// minSpread is the least variance of the logarithm of the number in flight, which is a deviation of 3%.
+	elasticityWindow, elasticityInterval = 64, 16
+	maxElasticity                        = 0.85
+	elasticityStep                       = 0.9
+	minSpread                            = 0.001
 )
 
 // sample is a finished transfer.
@@ -54,8 +64,9 @@
 	limit float64
 	// base is the duration of a transfer at full speed, and 0 while it is unknown.
 	base time.Duration
-	// recent holds the last firstWindow transfers while limit is 0.
+	// recent holds the last elasticityWindow transfers, and count is the number of all.
 	recent []sample
+	count  int
 	// block holds the durations since the last full block, and floors are those of full blocks, oldest first.
 	block  []time.Duration
 	floors []floor
@@ -68,8 +79,16 @@
 	if base == 0 || s.inFlight < 1 || float64(s.took) < minFloorFraction*float64(base) {
 		return c
 	}
+	c.recent = append(slices.Clone(c.recent[max(0, len(c.recent)-elasticityWindow+1):]), s)
+	c.count++
+	if len(c.recent) == elasticityWindow && c.count%elasticityInterval == 0 {
+		if inFlight, e := elasticity(c.recent); e > maxElasticity && inFlight >= max(c.minLimit, bindingFraction*c.limit) {
+			c.limit = max(c.minLimit, elasticityStep*cmp.Or(c.limit, inFlight))
+			return c
+		}
+	}
 	if c.limit == 0 {
-		return c.withFirst(s, base)
+		return c.withFirst()
 	}
 	switch {
 	case isCongested(s, base) && s.inFlight >= c.limit/2:
@@ -83,21 +102,35 @@
 }
 
 // withFirst sets the limit once enough of the last transfers were slowed.
-func (c capacity) withFirst(s sample, base time.Duration) capacity {
-	c.recent = append(slices.Clone(c.recent[max(0, len(c.recent)-firstWindow+1):]), s)
+func (c capacity) withFirst() capacity {
 	var estimates []float64
-	for _, r := range c.recent {
-		if isCongested(r, base) && r.inFlight >= c.minLimit {
-			estimates = append(estimates, estimate(r, base))
+	for _, r := range c.recent[max(0, len(c.recent)-firstWindow):] {
+		if isCongested(r, c.base) && r.inFlight >= c.minLimit {
+			estimates = append(estimates, estimate(r, c.base))
 		}
 	}
 	if len(estimates) >= firstCongested {
 		slices.Sort(estimates)
-		c.limit, c.recent = max(c.minLimit, estimates[len(estimates)/2]), nil
+		c.limit = max(c.minLimit, estimates[len(estimates)/2])
 	}
 	return c
 }
 
+// elasticity returns the mean number in flight and the relative change of the duration for a relative change of that
+// number, or 0 if the number hardly varied.
+func elasticity(list []sample) (inFlight, e float64) {
+	var x, y, xx, xy float64
+	n := float64(len(list))
+	for _, s := range list {
+		u, v := math.Log(s.inFlight), math.Log(s.took.Seconds())
+		inFlight, x, y, xx, xy = inFlight+s.inFlight/n, x+u/n, y+v/n, xx+u*u/n, xy+u*v/n
+	}
+	if spread := xx - x*x; spread > minSpread {
+		e = (xy - x*y) / spread
+	}
+	return inFlight, e
+}
+
 func isCongested(s sample, base time.Duration) bool {
 	return float64(s.took) > congestionRatio*float64(base)
 }
@@ -116,10 +149,14 @@
 	}
 	slices.Sort(c.block)
 	transfers := withoutCopies(c.block)
-	floors := append(slices.Clone(c.floors[max(0, len(c.floors)-maxFloors+1):]), floor{took: transfers[min(baseIndex, len(transfers)-1)], at: now})
-	c.floors = slices.DeleteFunc(floors, func(f floor) bool { return now-f.at > baseAge })
-	c.base = leastFloor(c.floors)
 	c.block = nil
+	atFullSpeed := transfers[min(baseIndex, len(transfers)-1)]
+	if float64(atFullSpeed) < minFloorFraction*float64(c.base) {
+		return c
+	}
+	floors := append(slices.Clone(c.floors[max(0, len(c.floors)-maxFloors+1):]), floor{took: atFullSpeed, at: now})
+	c.floors = slices.DeleteFunc(floors, func(f floor) bool { return now-f.at > baseAge })
+	c.base = slices.MinFunc(c.floors, func(x, y floor) int { return cmp.Compare(x.took, y.took) }).took
 	return c
 }
 
@@ -133,11 +170,3 @@
 	}
 	return sorted
 }
-
-// leastFloor returns the shortest floor, except for those that are much shorter than most.
-func leastFloor(floors []floor) time.Duration {
-	sorted := slices.SortedFunc(slices.Values(floors), func(x, y floor) int { return cmp.Compare(x.took, y.took) })
-	least := time.Duration(minFloorFraction * float64(sorted[len(sorted)/2].took))
-	i := slices.IndexFunc(sorted, func(f floor) bool { return f.took >= least })
-	return sorted[i].took
-}
