--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -30,6 +30,8 @@
 	Retention time.Duration
 	// RefreshTime is the age of a statement from which a request should be sent in order to renew it.
 	RefreshTime time.Duration
+	// MaxUsers bounds the users of a limit; 0 lets their number grow with the limit.
+	MaxUsers int
 }
 
 // Defaults of Config.
@@ -183,6 +185,9 @@
 // share returns the requests a second that this process may send, or 0 if it is not a user of the limit.
 func (t Throttler[K]) share(endpoint K, limit float64) float64 {
 	users := min(len(t.members), int(min(limit, float64(len(t.members)))*usersPerUnit)+extraUsers)
+	if t.config.MaxUsers > 0 {
+		users = min(users, t.config.MaxUsers)
+	}
 	own := weight(endpoint, t.self)
 	rank := 0
 	for _, m := range t.members {
