Pace engines that start or recover by grants of their sidecars

Entries sent a newly started engine as many requests as their own views allowed; with 31 entries a cold engine that takes 6.5 a second got several times that and crashed, and callers got 502 for what it held.

Entries now send a paced engine requests only with a grant from its sidecar, taken under the fleet's lock just before the send. EntryDemand.Pace carries what the sidecar needs, among it the cold time of the registration and whether the run was first listed during traffic; EngineState.Pace carries the grants. The sidecar paces an engine that has restarted, come back or been silent for 2 s, and takes a restarted one as cold for the configured time before its registration arrives. Engines listed within 10 s of the first list are not paced. A request for which every endpoint is paced waits up to 2 s and is then refused as endpoint-paced. Without word of the sidecar for 2.5 s, or without a sidecar, two entries chosen by rendezvous share a part of the cold rate. An engine's down message withdraws its grants.

The tests of internal/forwarder, internal/orderer and the decoding tests of platform pass. Seen to fail: TestColdEndpointNeedsGrants without the candidate check, the count of used grants, the check of the grant's VM or the wait; TestColdEndpointWithoutSidecarGetsAShare without the share or the end of the silence; TestEndpointThatStartsDuringTrafficIsPaced without the mark of new runs or the start time of the fleet; TestEngineIsPacedAfterStartOrRecovery without the rule for recovered, new or once paced runs; TestRestartedEngineIsColdAtOnce without the assumed cold time.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -83,15 +83,9 @@
 			sel.version = x.f.fleet.version(x.call.Model)
 		}
 		e, chosen, ok := x.f.choose(sel)
-		if !ok && (sel.isLimited || len(sel.becameUnavailable) == 0) {
-			return nil, refuseNoCandidate(sel)
-		}
 		if !ok {
-			// Every endpoint became unavailable during the wait for the adapter; retry all of them after a delay.
-			sel.becameUnavailable = nil
-			select {
-			case <-time.After(loadRetryDelay):
-			case <-ctx.Done():
+			if refusal := x.awaitCandidate(ctx, sel); refusal != nil {
+				return nil, refusal
 			}
 			continue
 		}
@@ -102,6 +96,7 @@
 		}
 		resident, unavailable := x.awaitAdapter(ctx, e, sel.version)
 		if resident {
+			x.awaitGrantAt(ctx, e)
 			x.placedAt = x.f.config.Now()
 			return e, nil
 		}
@@ -116,6 +111,23 @@
 	}
 }
 
+// awaitCandidate waits for a moment if an endpoint may become a candidate soon. Otherwise it returns a refusal.
+func (x *exchange) awaitCandidate(ctx context.Context, sel *criteria) *Refusal {
+	switch {
+	case sel.isPaced:
+		if !x.awaitGrant(ctx) {
+			return refuseUnavailable(reasonPaced, unavailableRetryAfter)
+		}
+	case sel.isLimited || len(sel.becameUnavailable) == 0:
+		return refuseNoCandidate(sel)
+	default:
+		// Every endpoint became unavailable during the wait for the adapter; retry all of them after a delay.
+		pause(ctx, loadRetryDelay)
+	}
+	sel.becameUnavailable = nil
+	return nil
+}
+
 func refuseNoCandidate(sel *criteria) *Refusal {
 	if sel.isLimited {
 		return refuseUnavailable("endpoint-limit", cmp.Or(sel.limitedFor, unavailableRetryAfter))
@@ -236,7 +248,13 @@
 	if refusal := x.refuseBlocked(); refusal != nil {
 		return refusal, false
 	}
+	if !f.takePace(e) {
+		// Another request has used the grant since the endpoint was selected.
+		x.isRetryCharged = x.sendCount > 0
+		return nil, false
+	}
 	x.sendCount++
+	x.sentAt = x.f.config.Now()
 	x.attemptEvents, x.attemptFirstEventAt, x.hasBegun, x.isProven = 0, time.Time{}, false, false
 	a := x.attempt(key, conn)
 	f.addAttempt(e, a)
@@ -523,6 +541,7 @@
 func (x *exchange) recordOutcome(e *endpoint, isFailure, isUnreachable bool) {
 	x.f.fleet.mu.Lock()
 	defer x.f.fleet.mu.Unlock()
+	x.recordPaceResponse(e, isFailure)
 	if isFailure {
 		e.recordFailure(x.f.config.Now(), isUnreachable)
 	} else {
@@ -594,6 +613,7 @@
 		}
 		return nil, false
 	}
+	x.f.fleet.recordRejected(e)
 	x.excluded[key] = true
 	if !x.hasAttemptsLeft() {
 		return refuseUnavailable("endpoint-full", unavailableRetryAfter), false
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -3,16 +3,21 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
 	"geraniumladder/pkg/detector"
+	"geraniumladder/pkg/pacer"
 	"geraniumladder/pkg/placer"
 	"geraniumladder/pkg/selector"
+	"geraniumladder/pkg/throttler"
 )
 
 const (
@@ -34,6 +39,8 @@
 	maxIdleUsage = 64
 	// maxWarmAdapters is the number of adapters, resident ones included, that an engine is expected to load fast.
 	maxWarmAdapters = 44
+	// maxFirstRound bounds the random number of the first round of grants.
+	maxFirstRound = 1 << 40
 )
 
 // incarnation identifies one incarnation of an endpoint. An endpoint may restart under the same ID.
@@ -91,6 +98,7 @@
 	suspectUntil        time.Time
 	// cached maps the prompt prefixes that the engine is expected to have in its cache to the time of their last use.
 	cached map[prefixKey]time.Time
+	pace   endpointPace
 	// changed is closed and replaced when the endpoint's state changes.
 	changed chan struct{}
 }
@@ -123,11 +131,21 @@
 	versions      map[registrar.AdapterKey]int64
 	// crashes holds the crashes that takeCrashes has not returned yet.
 	crashes []endpointCrash
+	// start is the origin of the times of pacing, and listedAt the time of the first list of endpoints; zero before.
+	start, listedAt time.Time
+	vm              string
+	log             zerolog.Logger
+	// demandOf counts the requests for each service, and shares divides the rates of cold endpoints without a sidecar.
+	demandOf map[string]*serviceDemand
+	shares   throttler.Throttler[string]
+	rng      *rand.Rand
 }
 
-func newFleet(domain string, now func() time.Time) *fleet {
+func newFleet(c *Config) *fleet {
 	return &fleet{
-		domain: domain, now: now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
+		start: c.Now(), vm: c.VM, log: c.Log, demandOf: map[string]*serviceDemand{}, rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>2)),
+		shares: throttler.New[string](throttler.Config{MaxUsers: pacer.FallbackUsers}, c.VM, 0),
+		domain: c.Domain, now: c.Now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
 		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{},
 	}
 }
@@ -138,6 +156,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.byIncarnation
+	now := f.now()
+	if f.listedAt.IsZero() && len(list) > 0 {
+		f.listedAt = now
+	}
 	f.byIncarnation, f.byService, f.byAddress = map[incarnation]*endpoint{}, map[string][]*endpoint{}, map[string]*endpoint{}
 	for _, r := range list {
 		key := incarnation{id: r.ID, born: r.Born}
@@ -146,7 +168,7 @@
 			e = &endpoint{
 				usage: map[registrar.AdapterKey]*adapterUsage{}, resident: map[registrar.AdapterKey]int64{},
 				loading: map[registrar.AdapterKey]int64{}, warm: map[registrar.AdapterKey]time.Time{}, cached: map[prefixKey]time.Time{}, changed: make(chan struct{}),
-				attempts: map[*attempt]struct{}{}, key: key.String(),
+				attempts: map[*attempt]struct{}{}, key: key.String(), pace: endpointPace{holder: pacer.NewHolder(f.rng.Int64N(maxFirstRound))},
 			}
 		}
 		if e.stateAt.IsZero() || f.now().Sub(e.stateAt) > stateTTL {
@@ -154,10 +176,9 @@
 		}
 		e.Endpoint = r
 		if c != nil {
-			if s := c.Service(r.Service); s != nil {
-				e.engine = s.Engine
-			}
+			e.setService(c.Service(r.Service), now)
 		}
+		e.pace.setListed(old[key] == nil && e.engine != nil && now.Sub(f.listedAt) >= fleetStartTime, now)
 		f.byIncarnation[key] = e
 		if other := f.byAddress[r.Address]; other == nil || other.Born < r.Born {
 			f.byAddress[r.Address] = e
@@ -177,6 +198,14 @@
 	return superseded
 }
 
+// setService applies the configuration of the endpoint's service, which is nil if it isn't configured.
+func (e *endpoint) setService(s *registrar.Service, now time.Time) {
+	if s != nil {
+		e.engine = s.Engine
+	}
+	e.pace.setRegistration(&e.Endpoint, s, now)
+}
+
 // supersede marks the endpoint as superseded and reports whether it was not marked before.
 func (f *fleet) supersede(e *endpoint) bool {
 	if e.isSuperseded {
@@ -246,6 +275,10 @@
 	} else {
 		e.hasEnded = false
 	}
+	if e.pace.setPace(s.Pace, f.vm, f.now()) {
+		f.log.Info().Str("Endpoint", e.ID).Bool("IsPaced", e.pace.isPaced).Bool("IsCold", e.pace.isCold(f.now())).
+			Msg("forwarder: pacing of endpoint changed")
+	}
 	e.othersPendingPrefill = max(0, float64(s.UnreadTokens)-e.reportedPrefill)
 	e.state, e.stateAt, e.sentSinceReport = s, f.now(), 0
 	e.state.Adapters = nil
@@ -300,6 +333,10 @@
 	// which one takes a request.
 	isLimited  bool
 	limitedFor time.Duration
+	// isPaced is set if an endpoint was left out because it is paced and this entry holds no grant for it.
+	isPaced bool
+	// isCounted means that the request has been counted as demand on its service.
+	isCounted bool
 	// due is the index of a candidate that should get a request in order to learn whether its limit is still in force;
 	// -1 if there is none.
 	due int
@@ -308,7 +345,11 @@
 // candidates returns the endpoints that may serve the request, with the inputs of the cost function.
 func (f *fleet) candidates(sel *criteria) ([]selector.Candidate, []*endpoint) {
 	now := f.now()
-	sel.isLimited, sel.limitedFor, sel.due = false, 0, -1
+	sel.isLimited, sel.limitedFor, sel.isPaced, sel.due = false, 0, false, -1
+	if !sel.isCounted {
+		sel.isCounted = true
+		f.recordServiceDemand(sel.service, now)
+	}
 	list := f.byService[sel.service]
 	candidates := make([]selector.Candidate, 0, len(list))
 	endpoints := make([]*endpoint, 0, len(list))
@@ -317,6 +358,10 @@
 		if e.IsLeaving || e.isSuperseded || sel.excluded[key] || sel.becameUnavailable[key] || sel.only != nil && !sel.only[key] {
 			continue
 		}
+		if f.paceOf(e, now) == closed {
+			sel.isPaced = true
+			continue
+		}
 		ok, isDue, after := sel.allows(e)
 		if !ok {
 			sel.isLimited = true
@@ -341,7 +386,7 @@
 	// Without a recent report from the sidecar, the free KV cache is unknown and assumed to suffice for any request.
 	c := selector.Candidate{
 		ID: e.ID, IsSameDomain: e.Domain == f.domain, Batch: max(1, e.Slots), Busy: e.open, UnreadTokens: e.pendingPrefill,
-		FreeTokens: 1e9, Residency: selector.Resident, HasFreeSlot: true, IsCold: e.IsCold,
+		FreeTokens: 1e9, Residency: selector.Resident, HasFreeSlot: true, IsCold: now.Before(e.pace.coldUntil),
 		FailureRate: e.currentFailureRate(now), IsSuspect: now.Before(e.suspectUntil) || e.liveness >= detector.Suspect,
 	}
 	if e.engine == nil {
@@ -561,9 +606,9 @@
 	defer f.mu.Unlock()
 	var list []EngineDemand
 	for _, e := range f.byIncarnation {
-		if e.isDirty && e.engine != nil {
+		if e.engine != nil && (e.isDirty || f.isPaceDue(e, f.now())) {
 			e.isDirty = false
-			list = append(list, e.demand())
+			list = append(list, f.demand(e))
 		}
 	}
 	return list
@@ -577,22 +622,23 @@
 	var list []EngineDemand
 	if address != "" {
 		if e := f.byAddress[address]; e != nil {
-			list = append(list, e.demand())
+			list = append(list, f.demand(e))
 		}
 		return list
 	}
 	for _, e := range f.byIncarnation {
 		if e.engine != nil {
-			list = append(list, e.demand())
+			list = append(list, f.demand(e))
 		}
 	}
 	return list
 }
 
-func (e *endpoint) demand() EngineDemand {
+func (f *fleet) demand(e *endpoint) EngineDemand {
 	e.reportedPrefill = e.pendingPrefill
 	d := EngineDemand{Address: e.Address, Message: wire.EntryDemand{
 		EndpointID: e.ID, UnreadTokens: int64(e.pendingPrefill), Wanted: []wire.AdapterDemand{}, Used: []wire.AdapterDemand{},
+		Pace: f.paceDemand(e),
 	}}
 	for key, u := range e.usage {
 		if key.Model == "" {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -134,7 +134,7 @@
 	}
 	start := c.Now()
 	f := &Forwarder{
-		config: c, fleet: newFleet(c.Domain, c.Now), start: start, retryBudgets: map[string]*retryBudget{},
+		config: c, fleet: newFleet(&c), start: start, retryBudgets: map[string]*retryBudget{},
 		quarantine: newQuarantine(start, c.Now, c.Log), throttle: newThrottle(c.VM, start, c.Now, c.Log),
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
@@ -248,6 +248,9 @@
 	// response header was sent.
 	lastEvent   string
 	wroteHeader bool
+	// sentAt is when the current attempt was sent, and pacedSince when the request began to wait for a grant; zero if it has
+	// not.
+	sentAt, pacedSince time.Time
 	// placedAt, chosen and firstEventAfter are for the log: the time when the last endpoint was acquired, the inputs of
 	// its selection, and the time from the arrival to the first event.
 	placedAt        time.Time
@@ -524,4 +527,5 @@
 	f.fleet.pruneUsage()
 	f.quarantine.prune()
 	f.throttle.update(f.config.Members())
+	f.fleet.setMembers(f.config.Members())
 }
--- a/internal/forwarder/throttle_test.go
+++ b/internal/forwarder/throttle_test.go
@@ -176,7 +176,7 @@
 	l.SetEndpoints(l.listed[:1])
 	l.play(t, 1)
 	l.limit.Store("")
-	l.listed[0].IsCold, l.listed[0].Domain = true, "far"
+	l.listed[0].ColdRemaining, l.listed[0].Domain = time.Hour, "far"
 	l.SetEndpoints(l.listed)
 	l.play(t, 50)
 	limits := l.Limits()
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -150,6 +150,12 @@
 	// MemoryMB bounds the memory of model weights and adapters together.
 	MemoryMB float64
 	Models   []Model
+	// Batch is the number of requests that the engine processes concurrently.
+	Batch int
+	// ColdStart is how long the engine is cold after its start, and ColdPerSecond the number of requests a second that it
+	// takes then; 0 sets no bound.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Model is a model that the engine may load.
@@ -181,6 +187,7 @@
 	// rejectedEndpointID is an ID with which the engine rejected an order. Entries may go on sending it for a while
 	// after the engine has restarted under another ID.
 	rejectedEndpointID string
+	pacing             pacing
 
 	// The fields below are accessed only by Run and need no lock.
 	fencingToken     int64
@@ -213,7 +220,7 @@
 	return &Orderer{
 		config: c, wake: make(chan struct{}, 1), entries: map[string]entryDemand{},
 		requestCounts: map[string]map[Adapter]int{}, weights: map[Adapter]weight{}, waitingSince: map[Adapter]time.Time{},
-		pendingLoads: map[Adapter]time.Time{},
+		pendingLoads: map[Adapter]time.Time{}, pacing: newPacing(c.Now()),
 	}
 }
 
@@ -248,6 +255,9 @@
 		}
 	}
 	o.entries[d.VM] = demand
+	if d.Pace != nil {
+		o.pacing.setDemand(&d, o.config.Capacity(), now)
+	}
 	if d.EndpointID != "" && d.EndpointID != o.rejectedEndpointID {
 		o.endpointID = d.EndpointID
 	}
@@ -347,10 +357,12 @@
 		}
 		return
 	}
-	if o.failedReports >= downThreshold {
+	isRegained := o.failedReports >= downThreshold
+	if isRegained {
 		o.config.Log.Info().Int64("Born", report.Born).Msg("orderer: engine regained")
 	}
 	o.failedReports = 0
+	isPaced := o.pace(report, isRegained)
 	// The token is obtained before the first order needs it.
 	o.ensureFencingToken(ctx)
 	o.recordFinishedLoads(report)
@@ -360,7 +372,7 @@
 			report = updated
 		}
 	}
-	o.isActive = len(report.Loading) > 0 || sent
+	o.isActive = len(report.Loading) > 0 || sent || isPaced
 	o.publishState(report, totalDemand, recipients)
 }
 
@@ -378,6 +390,10 @@
 	if o.failedReports >= downThreshold {
 		down := o.sentState
 		down.Address, down.IsDown = o.config.Address, true
+		if down.Pace != nil {
+			// Grants given before must not be used when the engine is back.
+			down.Pace = &wire.EnginePace{IsPaced: down.Pace.IsPaced, Grants: []wire.PaceGrant{}}
+		}
 		o.sendState(down, recipients, o.failedReports == downThreshold, false)
 	}
 }
@@ -520,7 +536,7 @@
 	})
 	s := wire.EngineState{
 		Address: o.config.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, UsedTokens: r.Used, TotalTokens: r.Total,
-		UnreadTokens: o.unprocessedTokens(), Adapters: adapters,
+		UnreadTokens: o.unprocessedTokens(), Adapters: adapters, Pace: o.paceMessage(),
 	}
 	sentAdapters := o.sentState.Adapters
 	adaptersChanged := sentAdapters == nil || s.Born != o.sentState.Born || o.sentState.IsDown || len(recipients) > o.recipientCount ||
@@ -534,7 +550,8 @@
 	// The number of messages from all sidecars grows with the number of entries, so the interval grows with it.
 	minInterval := max(minSendInterval, time.Duration(len(recipients))*sendIntervalPerEntry)
 	o.recipientCount = len(recipients)
-	o.sendState(s, recipients, adaptersChanged || (loadChanged || useChanged) && o.config.Now().Sub(o.sentAt) >= minInterval, adaptersChanged || useChanged)
+	paceChanged := !equalPace(s.Pace, o.sentState.Pace) && o.config.Now().Sub(o.sentAt) >= minSendInterval
+	o.sendState(s, recipients, adaptersChanged || paceChanged || (loadChanged || useChanged) && o.config.Now().Sub(o.sentAt) >= minInterval, adaptersChanged || useChanged)
 }
 
 // equalIgnoringUse reports whether two adapters are equal apart from IsUsed.
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -104,6 +104,10 @@
 	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// ColdStart is how long an endpoint is cold after its start, and ColdPerSecond the number of requests a second that a
+	// cold one takes from all entries together. Without a bound they are 0.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Engine describes the model engines of a service.
--- a/internal/registrar/endpoint.go
+++ b/internal/registrar/endpoint.go
@@ -1,6 +1,9 @@
 package registrar
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // Endpoint is one run of a model engine or plain service, as it registered itself.
 type Endpoint struct {
@@ -13,8 +16,8 @@
 	Domain string
 	// IsLeaving endpoints receive no new requests.
 	IsLeaving bool
-	// IsCold endpoints have started recently and are still slow.
-	IsCold bool
+	// ColdRemaining is how long the endpoint, when it registered this, was still cold: slow and able to take few requests.
+	ColdRemaining time.Duration
 	// Slots is the number of requests that the endpoint processes concurrently; 0 when it is not reported.
 	Slots int
 	// Born is the start of the run in Unix milliseconds; 0 when it is not reported.
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -162,6 +162,11 @@
 			e.sharer.RequestMessage()
 		},
 	})
+	if err := instruments.Gauge("geraniumladder.paced.endpoints", "{endpoint}", "Endpoints that are paced after a start or recovery.", func() float64 {
+		return float64(e.forwarder.PacedEndpoints())
+	}); err != nil {
+		return nil, err
+	}
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: operatorsWait(c.Tuning), RepeatAfter: readRepeatTime,
 		OnChange: e.setOperators, Now: time.Now, Log: c.Log,
--- a/internal/resident/sidecar.go
+++ b/internal/resident/sidecar.go
@@ -83,6 +83,15 @@
 		VM: c.VM, Address: c.EngineAddress, Engine: c.Engine, Capacity: s.capacity.Load,
 		ReserveLoad: s.acquireLoadPermit, NewFencingToken: c.NewFencingToken, ObserveLoad: instruments.Load, SendState: s.sendState, Now: time.Now, Log: c.Log,
 	})
+	if err := instruments.Gauge("geraniumladder.pace.limit", "{request}", "Requests that may be in progress at the paced engine; -1 while it isn't paced.", func() float64 {
+		limit, isPaced := s.orderer.PaceLimit()
+		if !isPaced {
+			return -1
+		}
+		return limit
+	}); err != nil {
+		return nil, err
+	}
 	gossiper.Handle(g, kindEntryDemand, func(d wire.EntryDemand) (string, gossiper.Stamp) {
 		return d.VM, gossiper.Stamp{Boot: d.Boot, Sequence: d.Sequence}
 	}, s.orderer.SetDemand)
@@ -98,7 +107,10 @@
 	if service == nil || service.Engine == nil {
 		return
 	}
-	capacity := &orderer.Capacity{AdapterSlots: service.Engine.AdapterSlots, MemoryMB: service.Engine.MemoryMB}
+	capacity := &orderer.Capacity{
+		AdapterSlots: service.Engine.AdapterSlots, MemoryMB: service.Engine.MemoryMB, Batch: service.Engine.Batch,
+		ColdStart: service.ColdStart, ColdPerSecond: service.ColdPerSecond,
+	}
 	for _, m := range service.Engine.Models {
 		capacity.Models = append(capacity.Models, orderer.Model{Name: m.Name, WeightsMB: m.WeightsMB, AdapterMB: m.AdapterMB})
 	}
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -354,6 +354,15 @@
 	Resident []AdapterName `json:"Resident"`
 }
 
+// EnginePace How the engine is paced. Left out if no entry expects it to be and it isn't.
+type EnginePace struct {
+	// Grants All grants that may still be used.
+	Grants []PaceGrant `json:"Grants"`
+
+	// IsPaced Requests need a grant.
+	IsPaced bool `json:"IsPaced"`
+}
+
 // EngineState Sent by a sidecar to the entries, as one datagram, when the state of its engine changes and at a steady interval.
 type EngineState struct {
 	// Adapters What an engine holds. Left out of an EngineState when it hasn't changed since the last one.
@@ -373,7 +382,10 @@
 
 	// NextWithinMilliseconds The next message follows within this time; 0 when the sender can't say.
 	NextWithinMilliseconds int64 `json:"NextWithinMilliseconds"`
-	Running                int   `json:"Running"`
+
+	// Pace How the engine is paced. Left out if no entry expects it to be and it isn't.
+	Pace    *EnginePace `json:"Pace,omitempty"`
+	Running int         `json:"Running"`
 
 	// Sequence Rises with each message of one run.
 	Sequence    int64 `json:"Sequence"`
@@ -395,6 +407,9 @@
 	// EndpointID ID under which the engine is registered; empty when the entry doesn't know it.
 	EndpointID string `json:"EndpointId"`
 
+	// Pace What an entry says to an engine that is paced or that it expects to be. Counts never fall within one process.
+	Pace *EntryPace `json:"Pace,omitempty"`
+
 	// Sequence Rises with each message of one run.
 	Sequence int64 `json:"Sequence"`
 
@@ -436,6 +451,39 @@
 	VM          string `json:"Vm"`
 }
 
+// EntryPace What an entry says to an engine that is paced or that it expects to be. Counts never fall within one process.
+type EntryPace struct {
+	// ColdMilliseconds For how long the engine is still cold according to its registration; 0 if it is warm.
+	ColdMilliseconds int64 `json:"ColdMilliseconds"`
+
+	// IsNew The engine's run was first listed while the entry was serving.
+	IsNew bool `json:"IsNew"`
+
+	// Late Responses that began later.
+	Late int `json:"Late"`
+
+	// Open Requests in progress at the engine.
+	Open int `json:"Open"`
+
+	// Rejected Requests that the engine rejected or lost.
+	Rejected int `json:"Rejected"`
+
+	// Round Grants of earlier rounds are given up.
+	Round int64 `json:"Round"`
+
+	// Taken Grants used.
+	Taken int `json:"Taken"`
+
+	// Timely Responses that began within their objective.
+	Timely int `json:"Timely"`
+
+	// Waiting Requests that wait for a grant.
+	Waiting int `json:"Waiting"`
+
+	// Wants Requests for the engine's service within the last second.
+	Wants int `json:"Wants"`
+}
+
 // EntryState Sent by each entry to each other one, as one datagram, at a steady interval.
 type EntryState struct {
 	// Acquittals Suspected parts that an endpoint has answered.
@@ -615,6 +663,18 @@
 	Tokens int64 `json:"Tokens"`
 }
 
+// PaceGrant defines model for PaceGrant.
+type PaceGrant struct {
+	// Count Requests allowed in the round in all; never falls within a round.
+	Count int `json:"Count"`
+
+	// Round Round of the entry, as in its EntryPace.
+	Round int64 `json:"Round"`
+
+	// VM Entry that may send the requests.
+	VM string `json:"Vm"`
+}
+
 // PartAcquittal defines model for PartAcquittal.
 type PartAcquittal struct {
 	// AgeMilliseconds Time since an endpoint answered a request with the part.
