emulator: an engine that can be cold

The stand-in engine was as fast and as robust after a start as ever, so nothing that paces a started engine could be tried against it.

The tests of internal/emulator pass. TestColdEngine was seen to fail without the longer steps, without the crash, with a fixed time instead of the one that is set, and without the cold time after a crash.

--- a/internal/emulator/commands.go
+++ b/internal/emulator/commands.go
@@ -152,6 +152,9 @@
 		&cli.DurationFlag{Name: "load-time", Usage: "how long a load takes without --weights"},
 		&cli.BoolFlag{Name: "checks-fence", Usage: "refuse orders with a stale fencing number"},
 		&cli.DurationFlag{Name: "detached", Value: DefaultDetachTimeout, Usage: "how long a request goes on without a connection"},
+		&cli.DurationFlag{Name: "cold-start", Usage: "how long the engine is cold after a start or crash"},
+		&cli.FloatFlag{Name: "cold-per-second", Usage: "requests a second that a cold engine takes; it crashes well above that"},
+		&cli.FloatFlag{Name: "cold-factor", Value: DefaultColdFactor, Usage: "by how much the steps of a cold engine take longer"},
 		&cli.DurationFlag{Name: "keep", Value: DefaultStreamRetention, Usage: "how long an ended stream can be resumed"},
 	}
 }
@@ -163,5 +166,6 @@
 		PrefillTokenTime: c.Duration("prefill-token-time"), PrefillChunk: c.Int("prefill-chunk"),
 		CacheTokens: c.Int("cache-tokens"), WeightsURL: c.String("weights"), LoadTime: c.Duration("load-time"),
 		ChecksFence: c.Bool("checks-fence"), DetachTimeout: c.Duration("detached"), StreamRetention: c.Duration("keep"), Seed: c.Uint64("seed"),
+		ColdStart: c.Duration("cold-start"), ColdPerSecond: c.Float("cold-per-second"), ColdFactor: c.Float("cold-factor"),
 	}
 }
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -68,6 +68,12 @@
 	DetachTimeout time.Duration
 	// StreamRetention is how long a stream can be resumed after its end; DefaultStreamRetention if 0.
 	StreamRetention time.Duration
+	// ColdStart is how long the engine is cold after its start and after a crash. A cold engine's steps take ColdFactor
+	// times as long, DefaultColdFactor if 0, and it crashes if it gets well above ColdPerSecond requests a second, unless
+	// that is 0.
+	ColdStart     time.Duration
+	ColdPerSecond float64
+	ColdFactor    float64
 	// Seed of the random numbers for faults with a rate.
 	Seed uint64
 }
@@ -90,6 +96,7 @@
 	setDefault(&c.CacheTokens, DefaultCacheTokens)
 	setDefault(&c.DetachTimeout, DefaultDetachTimeout)
 	setDefault(&c.StreamRetention, DefaultStreamRetention)
+	setDefault(&c.ColdFactor, DefaultColdFactor)
 	return c
 }
 
@@ -175,6 +182,8 @@
 	// Steps counts the steps, AdapterSteps sums up the number of distinct models in the batch of each step.
 	Steps        int
 	AdapterSteps int
+	// ColdCrashes counts the crashes because of too many requests to the cold engine.
+	ColdCrashes int
 }
 
 // Engine emulates a model engine with the API of vLLM's OpenAI-compatible server. A crash loses its resident adapters,
@@ -199,6 +208,7 @@
 	stats       EngineStats
 	// crashCount is the number of crashes. A load that was in progress during a crash has no effect.
 	crashCount int
+	cold       coldState
 	// loopDone is closed when the step loop ends. It is nil before the first request.
 	loopDone      chan struct{}
 	loopRunning   bool
@@ -221,6 +231,7 @@
 		e.resident[name] = adapter{path: name}
 	}
 	e.faultInjector = newFaultInjector(c.Seed, isWriteMethod, e.resetState)
+	e.SetCold(c.ColdStart)
 	return e
 }
 
@@ -277,6 +288,7 @@
 	e.resident = map[string]adapter{}
 	e.cache.Purge()
 	e.highestFence = 0
+	e.cold = coldState{until: time.Now().Add(e.config.ColdStart)}
 }
 
 // abortSequence ends a sequence early. The caller removes it from waiting and running.
@@ -434,7 +446,11 @@
 	e.stats.AdapterSteps += len(models)
 	factor := 1 + e.config.AdapterCost*float64(max(0, len(models)-1))
 	prefill := time.Duration(e.config.PrefillChunk-budget) * e.config.PrefillTokenTime
-	return plan, time.Duration(float64(e.config.StepTime)*factor) + prefill
+	cost := time.Duration(float64(e.config.StepTime)*factor) + prefill
+	if e.cold.isCold(time.Now()) {
+		cost = time.Duration(float64(cost) * e.config.ColdFactor)
+	}
+	return plan, cost
 }
 
 // runStep executes a planned step: each request whose prefill is complete gets a token.
--- a/internal/emulator/engineapi.go
+++ b/internal/emulator/engineapi.go
@@ -24,6 +24,7 @@
 	lastEventIDHeader  = "Last-Event-ID"
 	doneEvent          = "data: [DONE]\n\n"
 	finishReasonLength = "length"
+	coldPath           = "/cold"
 )
 
 // Handler serves the engine's API, its faults and the request log.
@@ -40,6 +41,8 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(engineCollector{e})
 	x.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), e.probeMiddleware)
+	x.GET(coldPath, e.getCold)
+	x.POST(coldPath, e.setCold)
 	e.registerFaultRoutes(x, faultsPath)
 	e.registerRequestLog(x)
 	return x
@@ -141,6 +144,9 @@
 		if (chat && len(q.Messages) == 0) || (!chat && len(q.Prompt) == 0) {
 			return respondError(x, http.StatusBadRequest, "the request has no prompt or messages")
 		}
+		if !e.acceptCold() {
+			return errCrashed
+		}
 		id := x.Request().Header.Get(requestIDHeader)
 		if id == "" {
 			id = uuid.NewString()
