experiment: compare the ways to pace an engine that starts

Whether grants are better than a fixed ramp or nothing was only argued. geraniumladder experiment pacing now plays one engine that starts under a rush of 31 entries with each policy.

The limit must now stay at the capacity for a second, and pending grants count as use of the limit.

--- a/internal/experimenter/command.go
+++ b/internal/experimenter/command.go
@@ -43,6 +43,7 @@
 		{"limits", "excess and wrongful refusals of the ways to hold a fleet-wide limit", LimitsReport},
 		{"placement", "load stalls and p99 to the first token of the ways to choose an endpoint", PlacementReport},
 		{"fairness", "what organisations notice of a neighbour that sends five times its rate", FairnessReport},
+		{"pacing", "late and lost requests of the ways to send requests to an engine that starts", PacingReport},
 	}
 }
 
--- a/internal/experimenter/report_test.go
+++ b/internal/experimenter/report_test.go
@@ -53,7 +53,7 @@
 	}
 	list, err := run("list")
 	assert.NilError(t, err)
-	for _, name := range []string{"limits", "placement", "fairness"} {
+	for _, name := range []string{"limits", "placement", "fairness", "pacing"} {
 		assert.Assert(t, strings.Contains(list, name))
 	}
 	_, err = run("limits", "--user", "lautoka", "--out", t.TempDir())
--- a/pkg/pacer/limiter.go
+++ b/pkg/pacer/limiter.go
@@ -40,6 +40,9 @@
 	// MaxTime bounds the time of the limit, so that an endpoint without requests, or a fleet in which every response is
 	// late, is not limited for ever.
 	MaxTime time.Duration
+	// SettleTime is how long the limit must stay at the capacity. Entries go on preferring an endpoint that was empty until
+	// they have seen its load.
+	SettleTime time.Duration
 }
 
 // Defaults of AdaptiveConfig.
@@ -48,6 +51,8 @@
 	DefaultMin      = 2
 	DefaultLateCost = 3
 	DefaultMaxTime  = 30 * time.Second
+	// DefaultSettleTime is above the longest interval of a sidecar's messages.
+	DefaultSettleTime = time.Second
 )
 
 // Adaptive finds the limit from the responses. While requests are there it doubles with each round of timely responses,
@@ -56,6 +61,9 @@
 	config          AdaptiveConfig
 	limit, capacity float64
 	startedAt       time.Duration
+	// isFull means that the limit has been at the capacity since fullAt.
+	isFull bool
+	fullAt time.Duration
 }
 
 // NewAdaptive returns the limiter of an endpoint that started at a time. inProgress requests are at it already.
@@ -64,7 +72,17 @@
 	c.Min = cmp.Or(c.Min, DefaultMin)
 	c.LateCost = cmp.Or(c.LateCost, DefaultLateCost)
 	c.MaxTime = cmp.Or(c.MaxTime, DefaultMaxTime)
-	return Adaptive{config: c, limit: max(c.Initial, float64(inProgress)), capacity: float64(capacity), startedAt: now}
+	c.SettleTime = cmp.Or(c.SettleTime, DefaultSettleTime)
+	a := Adaptive{config: c, capacity: max(c.Min, float64(capacity)), startedAt: now}
+	return a.withLimit(max(c.Initial, float64(inProgress)), now)
+}
+
+func (a Adaptive) withLimit(limit float64, now time.Duration) Adaptive {
+	a.limit = max(a.config.Min, min(a.capacity, limit))
+	if isFull := a.limit >= a.capacity; isFull != a.isFull {
+		a.isFull, a.fullAt = isFull, now
+	}
+	return a
 }
 
 // Limit implements Limiter.
@@ -72,18 +90,18 @@
 
 // WithResponses implements Limiter. The limit rises only while at least half of it is in use: responses to a few
 // requests don't show that the endpoint can take many.
-func (a Adaptive) WithResponses(r Responses, inProgress int, _ time.Duration) Limiter {
+func (a Adaptive) WithResponses(r Responses, inProgress int, now time.Duration) Limiter {
+	limit := a.limit
 	// The requests that have just been answered were in progress too.
 	if 2*float64(inProgress+r.Timely) >= a.limit {
-		a.limit += float64(r.Timely)
+		limit += float64(r.Timely)
 	}
-	a.limit = max(a.config.Min, a.limit-a.config.LateCost*float64(r.Late+r.Rejected))
-	return a
+	return a.withLimit(limit-a.config.LateCost*float64(r.Late+r.Rejected), now)
 }
 
 // IsDone implements Limiter.
 func (a Adaptive) IsDone(now time.Duration) bool {
-	return a.limit >= a.capacity || now-a.startedAt >= a.config.MaxTime
+	return a.isFull && now-a.fullAt >= a.config.SettleTime || now-a.startedAt >= a.config.MaxTime
 }
 
 // FixedRamp raises the limit linearly to the capacity, whatever the responses say. It is the baseline of Adaptive.
--- a/pkg/pacer/pacer.go
+++ b/pkg/pacer/pacer.go
@@ -213,7 +213,7 @@
 			e.pending, e.issued, e.expired, e.roundAt = 0, 0, 0, now
 		}
 		if p.limiter != nil {
-			p.limiter = p.limiter.WithResponses(d.Responses.Minus(e.Responses), p.inProgress, now)
+			p.limiter = p.limiter.WithResponses(d.Responses.Minus(e.Responses), p.inProgress+len(p.pending), now)
 		}
 	}
 	e.Demand, e.heardAt = d, now
--- a/pkg/pacer/pacer_test.go
+++ b/pkg/pacer/pacer_test.go
@@ -387,7 +387,7 @@
 }
 
 // TestNobodyStarves guards against an entry that never gets a grant because others want more, and against an endpoint
-// that is limited for ever because every response is late.
+// whose limit doesn't fall when every response is late, or that is limited for ever then.
 func TestNobodyStarves(t *testing.T) {
 	p := pacer.New(0).WithConfig(pacer.Config{Capacity: 50}).WithStart(0, 0)
 	got := map[string]int{}
@@ -409,6 +409,9 @@
 		grants := p.Grants(now)
 		if p.IsPaced(now) {
 			assert.Assert(t, len(grants) > 0, "no grant at %v", now)
+			if now > 10*time.Second {
+				assert.Equal(t, p.Limit(now), float64(pacer.DefaultMin))
+			}
 		}
 		for _, g := range grants {
 			got[g.Entry] += g.Count
