--- a/internal/experimenter/command.go
+++ b/internal/experimenter/command.go
@@ -44,6 +44,7 @@
 		{"placement", "load stalls and p99 to the first token of the ways to choose an endpoint", PlacementReport},
 		{"estimate", "late requests and the error of the ways to estimate the time to the first event, with slow engines", EstimateReport},
 		{"fairness", "what organisations notice of a neighbour that sends five times its rate", FairnessReport},
+		{"pacing", "late and lost requests of the ways to send requests to an engine that starts", PacingReport},
 	}
 }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -89,15 +89,9 @@
 		}
 		e, chosen, ok := x.f.choose(sel)
 		if !ok {
-			if refusal := x.refuseNoCandidate(sel); refusal != nil {
+			if refusal := x.awaitCandidate(ctx, sel); refusal != nil {
 				return nil, refusal
 			}
-			// Every endpoint became unavailable during the wait for the adapter; retry all of them after a delay.
-			sel.becameUnavailable = nil
-			select {
-			case <-time.After(loadRetryDelay):
-			case <-ctx.Done():
-			}
 			continue
 		}
 		x.chosen = chosen
@@ -106,6 +100,7 @@
 			return nil, refusal
 		}
 		if resident {
+			x.awaitGrantAt(ctx, e)
 			x.placedAt = x.f.config.Now()
 			return e, nil
 		}
@@ -136,7 +131,27 @@
 	return isResident, isUnavailable, nil
 }
 
-// refuseNoCandidate returns a refusal, or nil if endpoints that became unavailable should be tried again.
+// awaitCandidate waits for a moment if an endpoint may become a candidate soon. Otherwise it returns a refusal.
+func (x *exchange) awaitCandidate(ctx context.Context, sel *criteria) *Refusal {
+	switch {
+	case sel.isPaced:
+		if !x.awaitGrant(ctx) {
+			return refuseUnavailable(reasonPaced, unavailableRetryAfter)
+		}
+	case sel.isLimited || len(sel.becameUnavailable) == 0:
+		return x.refuseNoCandidate(sel)
+	default:
+		if refusal := x.refuseClosed(); refusal != nil {
+			return refusal
+		}
+		// Every endpoint became unavailable during the wait for the adapter; retry all of them after a delay.
+		pause(ctx, loadRetryDelay)
+	}
+	sel.becameUnavailable = nil
+	return nil
+}
+
+// refuseNoCandidate returns the refusal of a request that no endpoint may get.
 func (x *exchange) refuseNoCandidate(sel *criteria) *Refusal {
 	if refusal := x.refuseClosed(); refusal != nil {
 		return refusal
@@ -144,8 +159,6 @@
 	switch {
 	case sel.isLimited:
 		return refuseUnavailable("endpoint-limit", cmp.Or(sel.limitedFor, unavailableRetryAfter))
-	case len(sel.becameUnavailable) > 0:
-		return nil
 	case sel.isEvacuated:
 		return refuseUnavailable("evacuated", evacuatedRetryAfter)
 	case sel.isElsewhere:
@@ -305,6 +318,11 @@
 	if refusal := x.refuseBlocked(); refusal != nil {
 		return refusal, false
 	}
+	if !f.takePace(e) {
+		// Another request has used the grant since the endpoint was selected.
+		x.isRetryCharged = x.sendCount > 0
+		return nil, false
+	}
 	a := x.attempt(key, conn)
 	if !f.addAttempt(e, a) {
 		// The endpoint has gone or closed while the connection was acquired.
@@ -312,6 +330,7 @@
 		return nil, false
 	}
 	x.sendCount++
+	x.sentAt = x.f.config.Now()
 	x.attemptEvents, x.attemptFirstEventAt, x.hasBegun, x.isProven = 0, time.Time{}, false, false
 	defer func() {
 		f.removeAttempt(e, a)
@@ -612,6 +631,7 @@
 	}
 	x.f.fleet.mu.Lock()
 	defer x.f.fleet.mu.Unlock()
+	x.recordPaceResponse(e, isFailure)
 	if isFailure {
 		e.recordFailure(x.f.config.Now(), isUnreachable)
 	} else {
@@ -683,6 +703,7 @@
 		}
 		return nil, false
 	}
+	x.f.fleet.recordRejected(e)
 	x.excluded[key] = true
 	if refusal := x.refuseClosed(); refusal != nil {
 		return refusal, false
--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -107,7 +107,7 @@
 	}
 	isFresh := now.Sub(e.stateAt) < stateTTL
 	s := sentState{
-		isObservable: isFresh && !e.IsCold && e.state.Waiting == 0 && e.running(now) <= e.engine.Batch &&
+		isObservable: isFresh && !now.Before(e.pace.coldUntil) && e.state.Waiting == 0 && e.running(now) <= e.engine.Batch &&
 			float64(e.state.TotalTokens-e.state.UsedTokens) >= call.PromptTokens+call.AnswerTokens,
 		batch: e.running(now), readTokens: e.unreadTokens(now), certainTokens: ownTokens,
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -142,7 +142,7 @@
 	elapsed := clock{now: c.Now, start: c.Now()}
 	r := newReports(elapsed, c.Observer, c.Log)
 	f := &Forwarder{
-		config: c, fleet: newFleet(c.Domain, c.Now, c.Selector, r), start: elapsed.start, retryBudgets: map[string]*retryBudget{},
+		config: c, fleet: newFleet(&c, r), start: elapsed.start, retryBudgets: map[string]*retryBudget{},
 		quarantine: newQuarantine(elapsed, c.Log), throttle: newThrottle(c.VM, elapsed, c.Log), reports: r,
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
 	}
@@ -259,6 +259,9 @@
 	// response header was sent.
 	lastEvent   string
 	wroteHeader bool
+	// sentAt is when the current attempt was sent, and pacedSince when the request began to wait for a grant; zero if it has
+	// not.
+	sentAt, pacedSince time.Time
 	// placedAt, chosen and firstEventAfter are for the log: the time when the last endpoint was acquired, the inputs of
 	// its selection, and the time from the arrival to the first event.
 	placedAt        time.Time
@@ -556,4 +559,5 @@
 	f.throttle.update(f.config.Members())
 	f.reports.prune(f.fleet.isListed)
 	f.updateTransfers()
+	f.fleet.setMembers(f.config.Members())
 }
