Requests within a limit wait for their entry's report

An entry may admit only its share of an organisation's level before the other entries know of it. The entry now reports at once and the request waits for that, at most 0.1 s; what may be admitted without a report stays the same. Without the wait the new test fails; the tests of limiter and sharer pass unchanged.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -39,6 +39,9 @@
 	// Admit takes tokens from the organisation's limit. If there are not enough, it returns the time after which there
 	// may be.
 	Admit(o *registrar.Organisation, tokens float64) (ok bool, after time.Duration)
+	// AwaitsReport reports whether a request that was not admitted may be admitted within some ten milliseconds, when the
+	// other entries have been told what this one has admitted.
+	AwaitsReport(o *registrar.Organisation, tokens float64) bool
 	// LimitState returns the state of the organisation's limit for the log.
 	LimitState(o *registrar.Organisation) LimitState
 	// Refund returns the tokens of an admitted request that has not run.
@@ -386,7 +389,7 @@
 // serve admits the request and tries endpoints until one responds or no attempt is left.
 func (x *exchange) serve() {
 	if x.organisation != nil && x.organisation.Rate > 0 {
-		if ok, after := x.f.config.Admitter.Admit(x.organisation, x.tokens()); !ok {
+		if ok, after := x.admit(); !ok {
 			standing := x.f.config.Admitter.LimitState(x.organisation)
 			x.f.config.Log.Info().Str("Request", x.call.ID).Str("Organisation", x.organisation.Name).Float64("Tokens", x.tokens()).
 				Float64("Level", standing.Level).Float64("Rate", x.organisation.Rate).Float64("Burst", x.organisation.Burst).
@@ -413,6 +416,25 @@
 	}
 }
 
+const (
+	// reportPollInterval is the interval at which a request looks whether its entry's admissions have been reported, and
+	// maxReportWait the longest time for which it does so. A report takes up to 25 ms, and more while the process is behind.
+	reportPollInterval = 5 * time.Millisecond
+	maxReportWait      = 100 * time.Millisecond
+)
+
+// admit takes the request's tokens from its organisation's limit. A request that only has to wait for a report of this
+// entry waits for it: rejecting it would be wrong, as the organisation is within its limit.
+func (x *exchange) admit() (ok bool, after time.Duration) {
+	for waited := time.Duration(0); ; waited += reportPollInterval {
+		ok, after = x.f.config.Admitter.Admit(x.organisation, x.tokens())
+		if ok || waited >= maxReportWait || x.r.Context().Err() != nil || !x.f.config.Admitter.AwaitsReport(x.organisation, x.tokens()) {
+			return ok, after
+		}
+		pause(x.r.Context(), reportPollInterval)
+	}
+}
+
 // finish ends an exchange for which there is no response to forward.
 func (x *exchange) finish(ctx context.Context, refusal *Refusal) {
 	if !x.mayHaveRun && x.admittedTokens > 0 {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -63,12 +63,18 @@
 	}
 }
 
-type admitter struct{ rejects bool }
+// admitter admits requests, or rejects all if rejects is set, or those before the end of reportAfter more calls.
+type admitter struct {
+	rejects     bool
+	reportAfter atomic.Int64
+}
 
 func (a *admitter) Admit(*registrar.Organisation, float64) (bool, time.Duration) {
-	return !a.rejects, time.Second
+	return !a.rejects && a.reportAfter.Add(-1) < 0, time.Second
 }
 
+func (a *admitter) AwaitsReport(*registrar.Organisation, float64) bool { return !a.rejects }
+
 func (a *admitter) LimitState(*registrar.Organisation) forwarder.LimitState {
 	return forwarder.LimitState{}
 }
@@ -300,6 +306,16 @@
 	assert.Equal(t, f.send(t, "/open/", "", "Key", "").status, 200)
 }
 
+// TestRequestWaitsForItsEntrysReport guards against a rejection of an organisation within its limit because this entry has
+// yet to tell the others what it has admitted, and against waiting for a report that doesn't come.
+func TestRequestWaitsForItsEntrysReport(t *testing.T) {
+	f := newFixture(t, newEndpoint(t, "e", ok))
+	f.admitter.reportAfter.Store(3)
+	assert.Equal(t, f.send(t, "/once/", "").status, 200)
+	f.admitter.reportAfter.Store(1 << 40)
+	assert.Equal(t, f.send(t, "/once/", "").status, 429)
+}
+
 // TestMissingConfigurationIs503 guards against 401 or 404 from an entry that has no configuration yet.
 func TestMissingConfigurationIs503(t *testing.T) {
 	f := forwarder.New(forwarder.Config{Translator: translator{}, Observer: observer{}, Now: time.Now, Log: zerolog.Nop()})
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -170,12 +170,19 @@
 	}
 	t, admitted, after := t.Admit(tokens, now)
 	s.tallies[o.Name] = t
-	if t.NeedsReport() {
+	if t.NeedsReport() || !admitted && t.AwaitsReport(tokens, now) {
 		s.RequestMessage()
 	}
 	return admitted, after
 }
 
+// AwaitsReport implements forwarder.Admitter. The message that Admit has requested is sent within MinMessageInterval.
+func (s *Sharer) AwaitsReport(o *registrar.Organisation, tokens float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tallies[o.Name].AwaitsReport(tokens, s.elapsed())
+}
+
 // LimitState returns the values on which an admission decision for the organisation is based.
 func (s *Sharer) LimitState(o *registrar.Organisation) forwarder.LimitState {
 	s.mu.Lock()
--- a/pkg/limiter/replicated_bucket.go
+++ b/pkg/limiter/replicated_bucket.go
@@ -92,6 +92,13 @@
 	return t.reachable == 1 || unreported <= 0 || unreported+tokens <= (t.config.Allowance+2*t.level)/float64(t.reachable)
 }
 
+// AwaitsReport reports whether the tokens are available and only this entry's unreported admissions stand in the way, so
+// that the request can be admitted once they have been reported.
+func (t ReplicatedBucket) AwaitsReport(tokens float64, now time.Duration) bool {
+	t = t.refill(now)
+	return t.level >= tokens && !t.withinAllowance(tokens)
+}
+
 // refillTime returns how long refill takes to provide the missing tokens, or Never if there is no refill.
 func (t ReplicatedBucket) refillTime(missing float64) time.Duration {
 	rate := t.config.Rate * t.share()
--- a/pkg/limiter/replicated_bucket_test.go
+++ b/pkg/limiter/replicated_bucket_test.go
@@ -152,3 +152,16 @@
 	_, ok, _ := tally.Admit(10000, 2*time.Second)
 	assert.Assert(t, ok)
 }
+
+// Guards against an organisation within its limit whose second request at one entry counts as over the limit, because the
+// entry has not reported the first one yet.
+func TestTallyAwaitsReport(t *testing.T) {
+	tally := limiter.NewReplicatedBucket(limiter.ReplicatedBucketConfig{Rate: 70000, Burst: 70000, Allowance: 1000}, 0).WithReachable(28, 28, 0)
+	tally, ok, _ := tally.Admit(9000, 2*time.Second)
+	assert.Assert(t, ok)
+	_, ok, _ = tally.Admit(3000, 2*time.Second)
+	assert.Assert(t, !ok && tally.AwaitsReport(3000, 2*time.Second) && !tally.AwaitsReport(69000, 2*time.Second))
+	tally, _ = tally.MarkReported()
+	_, ok, _ = tally.Admit(3000, 2*time.Second)
+	assert.Assert(t, ok)
+}
