Pruning of endpoint reports doesn't take the fleet's lock

An entry on which an endpoint had said an hour ago that it is leaving, and was still listed, could stop for good: Prune held the lock of the reports and took the fleet's to ask if the endpoint is listed, while a request held the fleet's lock and took that of the reports to ask if the endpoint is open. The listed keys are now collected before the reports are locked, once instead of once for each report, and the field's comment states the order of the locks.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -554,6 +554,6 @@
 	f.fleet.pruneUsage()
 	f.quarantine.prune()
 	f.throttle.update(f.config.Members())
-	f.reports.prune(f.fleet.isListed)
+	f.reports.prune(f.fleet.keys())
 	f.updateTransfers()
 }
--- a/internal/forwarder/reports.go
+++ b/internal/forwarder/reports.go
@@ -32,6 +32,7 @@
 	observer Observer
 	log      zerolog.Logger
 
+	// mu is locked after the fleet's.
 	mu    sync.Mutex
 	state attester.Attester[string]
 	// malformed counts the malformed headers since the last log line about one, which was written at malformedLoggedAt.
@@ -116,11 +117,12 @@
 	r.state = r.state.Without(key)
 }
 
-// prune removes what no longer counts.
-func (r *reports) prune(isListed func(key string) bool) {
+// prune removes what no longer counts. listed holds the keys of the listed endpoints. The caller doesn't hold the fleet's
+// lock, and prune doesn't take it, because it is locked before that of the reports.
+func (r *reports) prune(listed map[string]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state = r.state.WithoutExpired(isListed, r.elapsed())
+	r.state = r.state.WithoutExpired(func(key string) bool { return listed[key] }, r.elapsed())
 }
 
 // recordReports records what a response says of the endpoint that sent it. That may be another one at the address. A late
@@ -160,16 +162,15 @@
 	return nil
 }
 
-// isListed reports whether an endpoint with the key is listed.
-func (f *fleet) isListed(key string) bool {
+// keys returns the keys of the listed endpoints.
+func (f *fleet) keys() map[string]bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(f.byIncarnation))
 	for _, e := range f.byIncarnation {
-		if e.key == key {
-			return true
-		}
+		listed[e.key] = true
 	}
-	return false
+	return listed
 }
 
 // reopensAfter returns the time after which the first endpoint of the service takes requests again, or false if one takes
--- a/internal/forwarder/reports_test.go
+++ b/internal/forwarder/reports_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -253,3 +254,41 @@
 	}
 	assert.Equal(t, strings.Count(f.log.String(), "malformed header"), 3)
 }
+
+// TestPruningBesideRequests guards against a deadlock between requests, which lock the fleet before the reports, and the
+// pruning of an old report of a listed endpoint.
+func TestPruningBesideRequests(t *testing.T) {
+	a, b := newEndpoint(t, "a", firstResponse(200, "Leaving: 1\r\n", "done")), newEndpoint(t, "b", ok)
+	f := newReportingFleet(t, nil, a, b)
+	f.send(t, "/again/", "")
+	f.SetEndpoints(f.listed[:1])
+	f.advance(2 * time.Hour)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for range 20000 {
+			w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/again/", nil)
+			r.Host = "h"
+			r.Header.Set("Key", "k")
+			f.ServeHTTP(w, r)
+			assert.Check(t, w.Code == 503, "%d", w.Code)
+		}
+	}()
+	pruned := make(chan struct{})
+	go func() {
+		defer close(pruned)
+		for {
+			select {
+			case <-ended:
+				return
+			default:
+				f.Prune()
+			}
+		}
+	}()
+	select {
+	case <-pruned:
+	case <-time.After(20 * time.Second):
+		t.Fatal("deadlock of requests and pruning")
+	}
+}
