A request that joins a load leaves the queue for loads

A request that waited for the transfer budget and then found the load of another entry, an engine with a warm copy, or a load that this entry had started meanwhile, kept its place in the queue. A start could be granted to it that nothing used, which counted as a load in flight until the request ended; a request that joined a started load was marked as no longer queued, so that its place and the start were never given back. The request now leaves the queue before it waits for the adapter, whatever the load is, and is marked as queued until then. TestRequestThatJoinsALoadLeavesTheQueue passes; without the change one load still waited when the test gave up.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -132,6 +132,7 @@
 		}
 	case selector.Loading:
 	}
+	x.leaveTransferQueue()
 	isResident, isUnavailable = x.awaitAdapter(ctx, e, version)
 	return isResident, isUnavailable, nil
 }
--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -213,10 +213,10 @@
 		ID: x.transfer.id, Since: x.transfer.since, Objective: objective.Sub(t.start) - processing, Deadline: x.deadline.Sub(t.start) - processing,
 	}
 	wake, isStarted := t.request(adapterLoad{Adapter: x.call.Model, Engine: e.key}, r)
-	x.transfer.isQueued = !isStarted
 	if isStarted {
 		return true, nil
 	}
+	x.transfer.isQueued = true
 	if stats := x.f.Transfers(); remaining < stats.BaseTime {
 		return false, refuseUnavailable("transfer-budget", transferRetryAfter)
 	}
@@ -231,7 +231,8 @@
 	return false, nil
 }
 
-// leaveTransferQueue removes the request from the queue for loads.
+// leaveTransferQueue removes the request from the queue for loads. A request that has joined a load must not stay there,
+// because the start that is granted to it then keeps a place from others.
 func (x *exchange) leaveTransferQueue() {
 	if x.transfer.isQueued {
 		x.transfer.isQueued = false
--- a/internal/forwarder/transfers_test.go
+++ b/internal/forwarder/transfers_test.go
@@ -129,6 +129,23 @@
 	assert.Assert(t, got.header.Get("Retry-After") != "")
 }
 
+// TestRequestThatJoinsALoadLeavesTheQueue guards against a request that waits for a load of another entry and keeps its
+// place in the queue meanwhile, so that a start is granted which nothing uses.
+func TestRequestThatJoinsALoadLeavesTheQueue(t *testing.T) {
+	idle, busy := newEndpoint(t, "idle", ok), newEndpoint(t, "busy", ok)
+	f, loading := newBusyStore(t, idle, busy)
+	end := make(chan reply)
+	go func() { end <- f.sendCtx(t.Context(), "/model/", "", "Uses", "base/a1") }()
+	poll.WaitOn(t, isWaiting(f, 1), poll.WithTimeout(20*time.Second))
+	f.SetState(engineState(idle, nil, []string{"a1"}))
+	poll.WaitOn(t, isWaiting(f, 0), poll.WithTimeout(10*time.Second))
+	f.SetState(engineState(busy, nil, loading[:2]))
+	assert.Equal(t, f.Transfers().InFlight, 3)
+	f.SetState(engineState(idle, []string{"a1"}, nil))
+	got := <-end
+	assert.Equal(t, got.status, 200)
+}
+
 // TestWarmLoadDoesNotWait guards against loads from an engine's own memory that wait for the weight store, also after the
 // engine has restarted, and against relying on copies that a restart has lost.
 func TestWarmLoadDoesNotWait(t *testing.T) {
