A base duration of a fault is forgotten

An entry that first measured transfers while the weight store was more than six times slower than usual never learned the usual duration: the usual transfers were taken for loads from copies and ignored, so that the base stayed. Once a limit was set, requests with less time left than that base were refused, and all others were taken for late. A base that no block of transfers has confirmed for a minute is now replaced by the next block. TestBaseOfAFaultIsForgotten finds 250 ms after transfers of 3 s; without the change the base was still 3 s.

--- a/pkg/budgeter/budgeter_test.go
+++ b/pkg/budgeter/budgeter_test.go
@@ -181,6 +181,25 @@
 	}
 }
 
+// TestBaseOfAFaultIsForgotten plays a store that is twelve times slower than usual while the first transfers are measured:
+// guards against a base duration under which the usual ones pass for loads from copies for ever, so that requests are
+// refused that a load serves in time.
+func TestBaseOfAFaultIsForgotten(t *testing.T) {
+	b, now := budgeter.New[int](budgeter.Config{}), time.Duration(0)
+	play := func(took time.Duration, n int) {
+		for range n {
+			b = b.WithLoading("e", []int{1, 2, 3, 4, 5, 6, 7, 8}, now)
+			now += took
+			b = b.WithFinished(budgeter.Load[int]{Adapter: 1, Engine: "e"}, took, now)
+			b = b.WithLoading("e", nil, now)
+		}
+	}
+	play(3*time.Second, 64)
+	assert.Equal(t, b.BaseTime(), 3*time.Second)
+	play(250*time.Millisecond, 300)
+	assert.Equal(t, b.BaseTime(), 250*time.Millisecond)
+}
+
 // busy returns the budget of one of n processes that has learned a limit of about four.
 func busy(n int) (b budgeter.Budgeter[int], now time.Duration) {
 	b = budgeter.New[int](budgeter.Config{}).WithProcesses(n, false)
--- a/pkg/budgeter/capacity.go
+++ b/pkg/budgeter/capacity.go
@@ -29,7 +29,8 @@
 	// transfers don't make all others look like copies.
 	copyGap, minTransfers = 3, 8
 	// minFloorFraction is the part of the base below which a duration is that of a load from a copy. The base may have been
-	// measured during congestion, so that durations somewhat below it are those of transfers.
+	// measured during congestion, so that durations somewhat below it are those of transfers. One that no block has
+	// confirmed within baseAge was measured during a fault and is replaced.
 	minFloorFraction = 1.0 / 6
 	// baseAge is how long such a duration counts. The shortest that counts is the base, which has to outlast the
 	// congestion that it is compared with. maxFloors bounds their number.
@@ -151,7 +152,8 @@
 	transfers := withoutCopies(c.block)
 	c.block = nil
 	atFullSpeed := transfers[min(baseIndex, len(transfers)-1)]
-	if float64(atFullSpeed) < minFloorFraction*float64(c.base) {
+	isConfirmed := len(c.floors) > 0 && now-c.floors[len(c.floors)-1].at <= baseAge
+	if isConfirmed && float64(atFullSpeed) < minFloorFraction*float64(c.base) {
 		return c
 	}
 	floors := append(slices.Clone(c.floors[max(0, len(c.floors)-maxFloors+1):]), floor{took: atFullSpeed, at: now})
