Loads after a fault of the weight store are no warm loads

A sidecar that measured its engine's first loads while the weight store was more than three times slower than usual took every later load for one from the engine's own copies, for good: the usual duration is learned only from loads that don't seem warm. Entries then learned of no transfer any more, so that their limit and base stayed those of the fault, and expected copies that the engine doesn't have. After 16 first loads in succession that seem warm, the sidecar forgets the usual duration and learns it again.

--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -415,3 +415,35 @@
 		assert.DeepEqual(t, warm, []bool{false, false, false, false, false, false, true})
 	})
 }
+
+// TestLoadsAfterAFaultAreNoCopies plays a sidecar that measures its first loads while the weight store is five times slower
+// than usual: guards against later loads that count as warm for ever, so that no entry learns of a transfer any more.
+func TestLoadsAfterAFaultAreNoCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, out := newFakeEngine("base"), &recorder{}
+		o := newOrderer(e, out, func(context.Context) (int64, error) { return 1, nil })
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan error)
+		go func() { end <- o.Run(ctx) }()
+		const slow, all = 8, 40
+		for n := range all {
+			o.SetDemand(demand(int64(n), 0, n+1), "entry:1")
+			if n < slow {
+				time.Sleep(time.Second)
+			}
+			time.Sleep(250 * time.Millisecond)
+			e.update(e.finishLoads)
+			time.Sleep(500 * time.Millisecond)
+		}
+		cancel()
+		assert.ErrorIs(t, <-end, context.Canceled)
+		var transfers []wire.AdapterTransfer
+		for _, s := range out.states {
+			transfers = append(transfers, s.Transfers...)
+		}
+		assert.Equal(t, len(transfers), all)
+		for _, x := range transfers[all-10:] {
+			assert.Assert(t, !x.IsWarm, "%s after %d ms", x.Adapter, x.Milliseconds)
+		}
+	})
+}
--- a/internal/orderer/transfer.go
+++ b/internal/orderer/transfer.go
@@ -14,6 +14,9 @@
 	// firstLoadCount is the number of first loads whose median is their usual duration, and minFirstLoads the number from
 	// which it is known.
 	firstLoadCount, minFirstLoads = 32, 5
+	// maxWarmFirstLoads is the number of first loads in succession that may seem warm. An engine has copies of only some of
+	// the adapters that its run has not held, so more show that the usual duration was measured during a fault.
+	maxWarmFirstLoads = 16
 	// maxUnsentTransfers bounds the finished loads that are kept while no entry receives messages.
 	maxUnsentTransfers = 64
 )
@@ -26,6 +29,8 @@
 	held map[Adapter]bool
 	// first holds the latest durations of loads of adapters that were not in held.
 	first []time.Duration
+	// warmFirst counts the first loads that have seemed warm since the last one that did not.
+	warmFirst int
 }
 
 // withHeld adds the adapters that the engine holds. held is shared with earlier values, which are not used again.
@@ -46,8 +51,14 @@
 		usual := slices.Sorted(slices.Values(l.first))[len(l.first)/2]
 		isWarm = float64(took) < warmFraction*float64(usual)
 	}
-	if !l.held[a] && !isWarm {
-		l.first = append(slices.Clone(l.first[max(0, len(l.first)-firstLoadCount+1):]), took)
+	switch {
+	case l.held[a]:
+	case !isWarm:
+		l.first, l.warmFirst = append(slices.Clone(l.first[max(0, len(l.first)-firstLoadCount+1):]), took), 0
+	default:
+		if l.warmFirst++; l.warmFirst == maxWarmFirstLoads {
+			l.first, l.warmFirst = nil, 0
+		}
 	}
 	return l, isWarm
 }
