The choice of an engine doesn't go through idle adapters

With 51, 400 and 1,000 engines, 53,000 adapters and 64 idle usage records for each engine, a choice took 0.24, 1.7 and 5.7 ms under the fleet's lock: for each candidate it went through all usage records to count the queued loads, and through all 256 remembered adapters to see if the engine has a copy. The usage records are read only if a request of this entry waits at the engine, and only as many remembered adapters are compared as the engine has copies.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -161,6 +161,7 @@
 	f := x.f.fleet
 	f.mu.Lock()
 	e.usageOf(x.call.Model, version).waiting++
+	e.waiting++
 	address := e.Address
 	f.mu.Unlock()
 	isLimited := f.transfers.isLimited()
@@ -168,6 +169,7 @@
 		f.mu.Lock()
 		u := e.usageOf(x.call.Model, version)
 		u.waiting--
+		e.waiting--
 		if u.waiting == 0 {
 			f.transfers.end(e, x.call.Model)
 		}
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -82,6 +82,8 @@
 	// open is the number of this entry's open requests at the endpoint. sentSinceReport is the number of requests sent
 	// since the sidecar's last report.
 	open, sentSinceReport int
+	// waiting is the sum of the waiting requests of usage.
+	waiting int
 	// pendingPrefill is the number of prompt tokens that this entry has sent and for which no first event has arrived.
 	// othersPendingPrefill is that of the other entries.
 	pendingPrefill, othersPendingPrefill float64
@@ -324,8 +326,7 @@
 
 // isWarm reports whether the engine is expected to load the adapter without the weight store.
 func (e *endpoint) isWarm(key registrar.AdapterKey) bool {
-	rank, ok := e.copies.Rank(key)
-	return ok && e.copyCount.Includes(rank)
+	return e.copies.Includes(key, *e.copyCount)
 }
 
 func adapterSet(names []wire.AdapterName) map[registrar.AdapterKey]int64 {
@@ -484,8 +485,8 @@
 			taken++
 		}
 	}
-	for key, u := range e.usage {
-		if key.Adapter != "" && key != wanted && u.waiting > 0 && e.residency(key, u.version) == selector.Absent {
+	for key, u := range e.waitingUsage() {
+		if u.waiting > 0 && key.Adapter != "" && key != wanted && e.residency(key, u.version) == selector.Absent {
 			queuedLoads++
 		}
 	}
@@ -496,6 +497,15 @@
 	return e.engine.AdapterSlots == 0 || taken+queuedLoads < e.engine.AdapterSlots, queuedLoads
 }
 
+// waitingUsage returns the usage records if any request waits, and otherwise none, because there may be many of idle
+// adapters.
+func (e *endpoint) waitingUsage() map[registrar.AdapterKey]*adapterUsage {
+	if e.waiting == 0 {
+		return nil
+	}
+	return e.usage
+}
+
 func (e *endpoint) isInUse(key registrar.AdapterKey) bool {
 	u := e.usage[key]
 	return e.inUse[key] || u != nil && u.open > 0
--- a/pkg/budgeter/copies.go
+++ b/pkg/budgeter/copies.go
@@ -1,6 +1,9 @@
 package budgeter
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // maxCopies bounds the adapters that Copies remembers, and with it the copies that an engine is expected to have.
 const maxCopies = 256
@@ -14,13 +17,18 @@
 	isCarried bool
 }
 
-// Rank returns the number of adapters that the engine has held since it last held this one, and false if it is not known
+// rank returns the number of adapters that the engine has held since it last held this one, and false if it is not known
 // to have held it.
-func (c Copies[A]) Rank(adapter A) (int, bool) {
+func (c Copies[A]) rank(adapter A) (int, bool) {
 	i := slices.Index(c.list, adapter)
 	return i, i >= 0
 }
 
+// Includes reports whether the engine is expected to have a copy of the adapter, given the number of its copies.
+func (c Copies[A]) Includes(adapter A, n CopyCount) bool {
+	return slices.Contains(c.list[:min(len(c.list), int(math.Ceil(float64(n))))], adapter)
+}
+
 // WithHeld records the adapters that the engine holds.
 func (c Copies[A]) WithHeld(held map[A]int64) Copies[A] {
 	front := 0
@@ -55,7 +63,7 @@
 // WithLoad records whether a load used a copy, and returns the changed number of copies. It must be called before
 // WithHeld with the loaded adapter.
 func (c Copies[A]) WithLoad(adapter A, isWarm bool, n CopyCount) (Copies[A], CopyCount) {
-	rank, ok := c.Rank(adapter)
+	rank, ok := c.rank(adapter)
 	switch {
 	case !ok:
 		return c, n
@@ -71,8 +79,8 @@
 // share it.
 type CopyCount float64
 
-// Includes reports whether an adapter of the rank is among the copies.
-func (n CopyCount) Includes(rank int) bool { return float64(rank) < float64(n) }
+// includes reports whether an adapter of the rank is among the copies.
+func (n CopyCount) includes(rank int) bool { return float64(rank) < float64(n) }
 
 // countGain is the weight of a load that contradicts the number. A single wrong one, as after an engine has lost its
 // copies, changes it by an eighth.
@@ -81,9 +89,9 @@
 func (n CopyCount) with(rank int, isWarm bool) CopyCount {
 	difference := CopyCount(rank) - n
 	switch {
-	case isWarm && !n.Includes(rank):
+	case isWarm && !n.includes(rank):
 		return min(maxCopies, n+max(1, countGain*difference))
-	case !isWarm && n.Includes(rank):
+	case !isWarm && n.includes(rank):
 		return max(0, n+min(-1, countGain*difference))
 	}
 	return n
--- a/pkg/budgeter/copies_test.go
+++ b/pkg/budgeter/copies_test.go
@@ -31,10 +31,9 @@
 				if slot := slices.Index(held, a); slot >= 0 && slot < 7 {
 					continue
 				}
-				rank, known := c.Rank(a)
 				place := slices.Index(held, a)
 				isWarm := place >= 0 && place < actual
-				if i > 1000 && isWarm != (known && count.Includes(rank)) {
+				if i > 1000 && isWarm != c.Includes(a, count) {
 					wrong++
 				}
 				c, count = c.WithLoad(a, isWarm, count)
