A suspension of the entry is no slowness of engines

An entry that was frozen for seconds took the time for that of the engines whose streams ran meanwhile, and told their sidecars so: the check used only the newest measurement of the delay, which is outdated when the streams run before the probe after a suspension, and small again when an observation ends some events later. The check now covers the whole observed time: the last suspension of 100 ms or more that ended in it, and a probe that is overdue.

--- a/internal/forwarder/delay.go
+++ b/internal/forwarder/delay.go
@@ -14,6 +14,14 @@
 // delayProbeInterval is the interval at which MeasureDelay measures the delay of the process.
 const delayProbeInterval = 40 * time.Millisecond
 
+// minSuspension is the delay from which the process counts as suspended. Shorter ones matter only while they last.
+const minSuspension = 100 * time.Millisecond
+
+// suspension is the last time in which the process did not run.
+type suspension struct {
+	until, length time.Duration
+}
+
 // patientCaller is the time that a caller without a timeout is taken to wait.
 const patientCaller = time.Minute
 
@@ -45,6 +53,10 @@
 	f.mu.Lock()
 	before := f.shedder.StandingDelay(now)
 	f.shedder = f.shedder.WithDelay(now, delay)
+	f.measuredAt = now
+	if delay >= minSuspension {
+		f.suspension = suspension{until: now, length: delay}
+	}
 	after := f.shedder.StandingDelay(now)
 	f.mu.Unlock()
 	f.config.Observer.Delay(delay)
@@ -54,6 +66,22 @@
 	}
 }
 
+// delayWithin returns by how much the process is behind or has been suspended within the last span. After a suspension,
+// the requests may run before MeasureDelay does.
+func (f *Forwarder) delayWithin(span time.Duration) time.Duration {
+	now := f.elapsed()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delay := f.shedder.Delay(now)
+	if f.measuredAt > 0 {
+		delay = max(delay, now-f.measuredAt-delayProbeInterval)
+	}
+	if now-f.suspension.until <= span {
+		delay = max(delay, f.suspension.length)
+	}
+	return delay
+}
+
 func (f *Forwarder) elapsed() time.Duration { return f.config.Now().Sub(f.start) }
 
 // admitByDelay returns the delay of the process, and a refusal if the request can't be handled in time.
--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -166,7 +166,7 @@
 // record passes an observation on unless this process itself was behind. It fills in what depends on the endpoint's state
 // if the observation is one of pauses.
 func (r *relayer) record(now time.Time, o estimator.Observation) {
-	if float64(r.x.f.delay()) > maxDelayShare*float64(o.Actual) {
+	if float64(r.x.f.delayWithin(o.Actual)) > maxDelayShare*float64(o.Actual) {
 		return
 	}
 	f := r.x.f.fleet
@@ -178,14 +178,6 @@
 	f.observe(r.e, now, o)
 }
 
-// delay returns by how much the process is behind.
-func (f *Forwarder) delay() time.Duration {
-	now := f.elapsed()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.shedder.Delay(now)
-}
-
 // cause names what the request had to wait for, by what was known when the endpoint was selected.
 func (p *placement) cause() string {
 	if p.residency == selector.Absent && p.isWarm {
--- a/internal/forwarder/estimate_test.go
+++ b/internal/forwarder/estimate_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,3 +66,35 @@
 		assert.Equal(t, f.Demands("")[0].Message.Speed > 0, !isBehind)
 	}
 }
+
+// TestSuspensionOfTheEntryIsNotObserved guards against engines that seem slow after the entry itself was suspended for
+// seconds during their streams, whether the streams or the measurement of the delay run first after that.
+func TestSuspensionOfTheEntryIsNotObserved(t *testing.T) {
+	for _, isMeasuredFirst := range []bool{false, true} {
+		var f *fixture
+		var suspended atomic.Int64
+		e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, _ int) bool {
+			streamHead(c, r)
+			writeEvent(c, 0)
+			time.Sleep(20 * time.Millisecond)
+			f.RecordDelay(0)
+			suspended.Add(int64(5 * time.Second))
+			if isMeasuredFirst {
+				f.RecordDelay(5 * time.Second)
+				f.RecordDelay(0)
+			}
+			for id := range 4 {
+				writeEvent(c, id+1)
+			}
+			_, err := fmt.Fprint(c, "0\r\n\r\n")
+			return err == nil
+		})
+		now := longRunningClock()
+		f = newFixtureWith(t, translator{}, func() time.Time { return now().Add(time.Duration(suspended.Load())) }, e)
+		f.setEngines(e)
+		for range 3 {
+			assert.Equal(t, f.send(t, "/", "").status, 200)
+		}
+		assert.Equal(t, f.Demands("")[0].Message.Speed, 0.0)
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -123,6 +123,9 @@
 	retryBudgets map[string]*retryBudget
 	rng          *rand.Rand
 	shedder      shedder.Shedder
+	// measuredAt is the time of the last measurement of the delay; 0 before the first.
+	measuredAt time.Duration
+	suspension suspension
 }
 
 // retryBudget is the retry budget of one service.
