Endpoints in evacuated domains don't count as open

When all endpoints outside an evacuated failure domain had said that they want no requests, an open endpoint in the domain counted as one that takes them. In standalone mode, the request was held for five seconds before it was rejected; on the users' platform, the Retry-After was 0.3 s instead of the time at which the first endpoint reopens. Both checks now leave out evacuated domains. TestClosedEnginesBesideAnEvacuation and TestClosedServiceIsRefusedAtOnce pass; without the change the first saw no rejection with endpoint_closed within 25 s, and the second a Retry-After of 0.3 s instead of 5 s.

--- a/internal/forwarder/reports.go
+++ b/internal/forwarder/reports.go
@@ -180,7 +180,7 @@
 	defer f.mu.Unlock()
 	first, isClosed := time.Duration(math.MaxInt64), false
 	for _, e := range f.byService[service] {
-		if e.IsLeaving || e.isSuperseded {
+		if e.IsLeaving || e.isSuperseded || f.evacuated[e.Domain] {
 			continue
 		}
 		ok, after := f.reports.availability(e)
--- a/internal/forwarder/reports_test.go
+++ b/internal/forwarder/reports_test.go
@@ -183,12 +183,16 @@
 }
 
 // TestClosedServiceIsRefusedAtOnce guards against requests that wait for a closure to end or are sent in it, and against a
-// Retry-After that isn't the end of the first closure.
+// Retry-After that isn't the end of the first closure, also beside an open endpoint in an evacuated domain.
 func TestClosedServiceIsRefusedAtOnce(t *testing.T) {
 	for _, header := range []string{"Not-Run: 1\r\n", ""} {
 		a := newEndpoint(t, "a", firstResponse(503, header+"Retry-After: 5\r\nClosed: 5\r\n", ""))
 		b := newEndpoint(t, "b", firstResponse(503, header+"Retry-After: 9\r\nClosed: 9\r\n", ""))
 		f := newReportingFleet(t, nil, a, b)
+		evacuated := newEndpoint(t, "evacuated", ok).registered("s")
+		evacuated.Domain = "evacuated"
+		f.SetEndpoints(append(f.listed, evacuated))
+		f.SetEvacuated(map[string]bool{"evacuated": true})
 		for range 3 {
 			got := f.send(t, "/again/", "")
 			assert.Equal(t, got.status, 503)
--- a/internal/launcher/closure_test.go
+++ b/internal/launcher/closure_test.go
@@ -85,3 +85,19 @@
 	}
 	f.eventually("the next runs are used", func() bool { return send().StatusCode == http.StatusOK && received()-orders(last) > before })
 }
+
+// TestClosedEnginesBesideAnEvacuation guards against a request that is held because an engine that gets no requests isn't
+// closed.
+func TestClosedEnginesBesideAnEvacuation(t *testing.T) {
+	f := startFleet(t)
+	f.evacuate("domain-a")
+	for i, e := range f.Engines() {
+		if i%3 != 0 {
+			e.SetFaults(emulator.Faults{FailRate: 1, RetryAfter: emulator.Duration(time.Minute)})
+		}
+	}
+	f.eventually("the request is rejected", func() bool {
+		_, text := f.do("POST", f.announcement.Entries[0]+"/v1/completions", f.announcement.Keys["accra"], "", completionRequest(f.announcement.Routes.Model["accra"], "draft", 3, false))
+		return strings.Contains(text, "endpoint_closed")
+	})
+}
--- a/internal/router/closures.go
+++ b/internal/router/closures.go
@@ -33,15 +33,15 @@
 	return nil
 }
 
-// closedEndpoints returns the VMs of the closed endpoints that could serve the request, and, if all live ones are closed, the
-// time after which the first of them reopens. The caller holds mu.
+// closedEndpoints returns the VMs of the closed endpoints that could serve the request, and, if all live ones outside evacuated
+// failure domains are closed, the time after which the first of them reopens. The caller holds mu.
 func (r *Router) closedEndpoints(request placer.Request, now time.Duration) (vms []string, reopensAfter time.Duration) {
 	if r.reports.IsEmpty() {
 		return nil, 0
 	}
 	first := time.Duration(math.MaxInt64)
 	for _, e := range r.view.Endpoints() {
-		if e.State != placer.Live || e.BaseModel != request.BaseModel || e.Service != request.Service {
+		if e.State != placer.Live || e.BaseModel != request.BaseModel || e.Service != request.Service || r.view.IsEvacuated(e.FailureDomain) {
 			continue
 		}
 		ok, after := r.reports.Availability(closureKey(e), now)
