One hooked translator in the tests, one clock in the forwarder

Three test translators of the forwarder differed only in the function that they call before the send, and the transfer budget had a copy of the clock that the quarantine, the limits and the reports share. The tests use hookedTranslator, and transfers embeds clock.

--- a/internal/forwarder/evacuation_test.go
+++ b/internal/forwarder/evacuation_test.go
@@ -77,23 +77,12 @@
 	assert.Equal(t, a.count(), before+1)
 }
 
-// evacuatingTranslator evacuates a domain between the acquisition of the connection and the send.
-type evacuatingTranslator struct {
-	translator
-	evacuate func()
-}
-
-func (h evacuatingTranslator) EndpointHeader(caller http.Header, d forwarder.Dispatch) http.Header {
-	h.evacuate()
-	return h.translator.EndpointHeader(caller, d)
-}
-
 // TestEvacuationWhileConnectingStopsTheSend guards against a request that is sent to an evacuated domain because the order
 // arrived after the endpoint was selected.
 func TestEvacuationWhileConnectingStopsTheSend(t *testing.T) {
 	a := newEndpoint(t, "a", ok)
 	var f *fixture
-	f = newFixtureWith(t, evacuatingTranslator{evacuate: func() { f.SetEvacuated(map[string]bool{"a": true}) }}, longRunningClock(), a)
+	f = newFixtureWith(t, hookedTranslator{beforeSend: func() { f.SetEvacuated(map[string]bool{"a": true}) }}, longRunningClock(), a)
 	f.setDomains(a)
 	assert.Equal(t, f.send(t, "/once/", "").status, 503)
 	assert.Equal(t, a.count(), 0)
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -152,7 +152,7 @@
 	return &fleet{
 		domain: domain, now: now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
 		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, reports: r,
-		transfers: newTransfers(now), copyCounts: map[string]*budgeter.CopyCount{},
+		transfers: newTransfers(r.clock), copyCounts: map[string]*budgeter.CopyCount{},
 		defaults: defaults, estimates: map[string]*estimator.Service{},
 	}
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -62,6 +62,17 @@
 	}
 }
 
+// hookedTranslator calls a function between the selection of the endpoint and the send.
+type hookedTranslator struct {
+	translator
+	beforeSend func()
+}
+
+func (h hookedTranslator) EndpointHeader(caller http.Header, d forwarder.Dispatch) http.Header {
+	h.beforeSend()
+	return h.translator.EndpointHeader(caller, d)
+}
+
 type admitter struct{ rejects bool }
 
 func (a *admitter) Admit(*registrar.Organisation, float64) (bool, time.Duration) {
@@ -815,24 +826,13 @@
 	close(next)
 }
 
-// pausingTranslator advances the entry's clock by one minute before each send, as if the process had been suspended.
-type pausingTranslator struct {
-	translator
-	paused *atomic.Int64
-}
-
-func (t pausingTranslator) EndpointHeader(caller http.Header, d forwarder.Dispatch) http.Header {
-	t.paused.Add(int64(time.Minute))
-	return t.translator.EndpointHeader(caller, d)
-}
-
 // TestExpiredRequestIsNotSentAfterPause guards against sending a request whose deadline passed while the entry was
 // suspended between the selection of the endpoint and the send.
 func TestExpiredRequestIsNotSentAfterPause(t *testing.T) {
 	for _, path := range []string{"/once/", "/again/"} {
 		e := newEndpoint(t, "e", ok)
 		paused := &atomic.Int64{}
-		f := newFixtureWith(t, pausingTranslator{paused: paused}, func() time.Time {
+		f := newFixtureWith(t, hookedTranslator{beforeSend: func() { paused.Add(int64(time.Minute)) }}, func() time.Time {
 			return time.Now().Add(time.Duration(paused.Load()))
 		}, e)
 		assert.Equal(t, f.send(t, path, "").status, 503, path)
@@ -937,24 +937,13 @@
 func (deafContext) Done() <-chan struct{} { return nil }
 func (deafContext) Err() error            { return nil }
 
-// leavingTranslator closes the caller's connection right before the request is sent to the endpoint.
-type leavingTranslator struct {
-	translator
-	leave func()
-}
-
-func (l leavingTranslator) EndpointHeader(caller http.Header, d forwarder.Dispatch) http.Header {
-	l.leave()
-	return l.translator.EndpointHeader(caller, d)
-}
-
 // TestRequestOfDepartedCallerIsNotSent guards against sending a request whose caller has closed its connection, although
 // the entry has not been told so yet.
 func TestRequestOfDepartedCallerIsNotSent(t *testing.T) {
 	e := newEndpoint(t, "e", ok)
 	var caller net.Conn
 	ended := make(chan struct{})
-	f := newFixtureWith(t, leavingTranslator{leave: func() {
+	f := newFixtureWith(t, hookedTranslator{beforeSend: func() {
 		_ = caller.Close()
 		time.Sleep(50 * time.Millisecond)
 	}}, longRunningClock(), e)
--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -22,9 +22,7 @@
 
 // transfers is this entry's budget for adapter loads from the weight store. It is safe for concurrent use.
 type transfers struct {
-	now func() time.Time
-	// start is the origin of the times in state.
-	start time.Time
+	clock
 
 	mu    sync.Mutex
 	state budgeter.Budgeter[registrar.AdapterKey]
@@ -47,17 +45,14 @@
 	waited   time.Duration
 }
 
-func newTransfers(now func() time.Time) *transfers {
-	start := now()
-	seed := uint64(start.UnixNano())
+func newTransfers(c clock) *transfers {
+	seed := uint64(c.start.UnixNano())
 	return &transfers{
-		now: now, start: start, state: budgeter.New[registrar.AdapterKey](budgeter.Config{}), rng: rand.New(rand.NewPCG(seed, seed>>1)),
+		clock: c, state: budgeter.New[registrar.AdapterKey](budgeter.Config{}), rng: rand.New(rand.NewPCG(seed, seed>>1)),
 		wakes: map[registrar.AdapterKey]chan struct{}{},
 	}
 }
 
-func (t *transfers) elapsed() time.Duration { return t.now().Sub(t.start) }
-
 // observe applies a sidecar's report. The caller holds the fleet's lock, and the endpoint still has its previous state.
 func (t *transfers) observe(e *endpoint, s *wire.EngineState) {
 	t.mu.Lock()
