--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -127,6 +127,7 @@
 		}
 	case selector.Loading:
 	}
+	x.leaveTransferQueue()
 	isResident, isUnavailable = x.awaitAdapter(ctx, e, version)
 	return isResident, isUnavailable, nil
 }
@@ -173,6 +174,7 @@
 	f := x.f.fleet
 	f.mu.Lock()
 	e.usageOf(x.call.Model, version).waiting++
+	e.waiting++
 	address := e.Address
 	f.mu.Unlock()
 	isLimited := f.transfers.isLimited()
@@ -180,6 +182,7 @@
 		f.mu.Lock()
 		u := e.usageOf(x.call.Model, version)
 		u.waiting--
+		e.waiting--
 		if u.waiting == 0 {
 			f.transfers.end(e, x.call.Model)
 		}
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -89,6 +89,8 @@
 	// open is the number of this entry's open requests at the endpoint. sentSinceReport is the number of requests sent
 	// since the sidecar's last report.
 	open, sentSinceReport int
+	// waiting is the sum of the waiting requests of usage.
+	waiting int
 	// pendingPrefill is the number of prompt tokens that this entry has sent and for which no first event has arrived.
 	// othersPendingPrefill is that of the other entries.
 	pendingPrefill, othersPendingPrefill float64
@@ -168,7 +170,7 @@
 		shares: throttler.New[string](throttler.Config{MaxUsers: pacer.FallbackUsers}, c.VM, 0),
 		domain: c.Domain, now: c.Now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
 		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, reports: r,
-		transfers: newTransfers(c.Now), copyCounts: map[string]*budgeter.CopyCount{},
+		transfers: newTransfers(r.clock), copyCounts: map[string]*budgeter.CopyCount{},
 		defaults: c.Selector, estimates: map[string]*estimator.Service{},
 	}
 }
@@ -357,8 +359,7 @@
 
 // isWarm reports whether the engine is expected to load the adapter without the weight store.
 func (e *endpoint) isWarm(key registrar.AdapterKey) bool {
-	rank, ok := e.copies.Rank(key)
-	return ok && e.copyCount.Includes(rank)
+	return e.copies.Includes(key, *e.copyCount)
 }
 
 func adapterSet(names []wire.AdapterName) map[registrar.AdapterKey]int64 {
@@ -529,8 +530,8 @@
 			taken++
 		}
 	}
-	for key, u := range e.usage {
-		if key.Adapter != "" && key != wanted && u.waiting > 0 && e.residency(key, u.version) == selector.Absent {
+	for key, u := range e.waitingUsage() {
+		if u.waiting > 0 && key.Adapter != "" && key != wanted && e.residency(key, u.version) == selector.Absent {
 			queuedLoads++
 		}
 	}
@@ -541,6 +542,15 @@
 	return e.engine.AdapterSlots == 0 || taken+queuedLoads < e.engine.AdapterSlots, queuedLoads
 }
 
+// waitingUsage returns the usage records if any request waits, and otherwise none, because there may be many of idle
+// adapters.
+func (e *endpoint) waitingUsage() map[registrar.AdapterKey]*adapterUsage {
+	if e.waiting == 0 {
+		return nil
+	}
+	return e.usage
+}
+
 func (e *endpoint) isInUse(key registrar.AdapterKey) bool {
 	u := e.usage[key]
 	return e.inUse[key] || u != nil && u.open > 0
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -126,6 +126,9 @@
 	retryBudgets map[string]*retryBudget
 	rng          *rand.Rand
 	shedder      shedder.Shedder
+	// measuredAt is the time of the last measurement of the delay; 0 before the first.
+	measuredAt time.Duration
+	suspension suspension
 }
 
 // retryBudget is the retry budget of one service.
@@ -579,7 +582,7 @@
 	f.fleet.pruneUsage()
 	f.quarantine.prune()
 	f.throttle.update(f.config.Members())
-	f.reports.prune(f.fleet.isListed)
+	f.reports.prune(f.fleet.keys())
 	f.updateTransfers()
 	f.fleet.setMembers(f.config.Members())
 }
--- a/internal/forwarder/reports_test.go
+++ b/internal/forwarder/reports_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -182,12 +183,16 @@
 }
 
 // TestClosedServiceIsRefusedAtOnce guards against requests that wait for a closure to end or are sent in it, and against a
-// Retry-After that isn't the end of the first closure.
+// Retry-After that isn't the end of the first closure, also beside an open endpoint in an evacuated domain.
 func TestClosedServiceIsRefusedAtOnce(t *testing.T) {
 	for _, header := range []string{"Not-Run: 1\r\n", ""} {
 		a := newEndpoint(t, "a", firstResponse(503, header+"Retry-After: 5\r\nClosed: 5\r\n", ""))
 		b := newEndpoint(t, "b", firstResponse(503, header+"Retry-After: 9\r\nClosed: 9\r\n", ""))
 		f := newReportingFleet(t, nil, a, b)
+		evacuated := newEndpoint(t, "evacuated", ok).registered("s")
+		evacuated.Domain = "evacuated"
+		f.SetEndpoints(append(f.listed, evacuated))
+		f.SetEvacuated(map[string]bool{"evacuated": true})
 		for range 3 {
 			got := f.send(t, "/again/", "")
 			assert.Equal(t, got.status, 503)
@@ -253,3 +258,41 @@
 	}
 	assert.Equal(t, strings.Count(f.log.String(), "malformed header"), 3)
 }
+
+// TestPruningBesideRequests guards against a deadlock between requests, which lock the fleet before the reports, and the
+// pruning of an old report of a listed endpoint.
+func TestPruningBesideRequests(t *testing.T) {
+	a, b := newEndpoint(t, "a", firstResponse(200, "Leaving: 1\r\n", "done")), newEndpoint(t, "b", ok)
+	f := newReportingFleet(t, nil, a, b)
+	f.send(t, "/again/", "")
+	f.SetEndpoints(f.listed[:1])
+	f.advance(2 * time.Hour)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for range 20000 {
+			w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/again/", nil)
+			r.Host = "h"
+			r.Header.Set("Key", "k")
+			f.ServeHTTP(w, r)
+			assert.Check(t, w.Code == 503, "%d", w.Code)
+		}
+	}()
+	pruned := make(chan struct{})
+	go func() {
+		defer close(pruned)
+		for {
+			select {
+			case <-ended:
+				return
+			default:
+				f.Prune()
+			}
+		}
+	}()
+	select {
+	case <-pruned:
+	case <-time.After(20 * time.Second):
+		t.Fatal("deadlock of requests and pruning")
+	}
+}
--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -22,9 +22,7 @@
 
 // transfers is this entry's budget for adapter loads from the weight store. It is safe for concurrent use.
 type transfers struct {
-	now func() time.Time
-	// start is the origin of the times in state.
-	start time.Time
+	clock
 
 	mu    sync.Mutex
 	state budgeter.Budgeter[registrar.AdapterKey]
@@ -47,17 +45,14 @@
 	waited   time.Duration
 }
 
-func newTransfers(now func() time.Time) *transfers {
-	start := now()
-	seed := uint64(start.UnixNano())
+func newTransfers(c clock) *transfers {
+	seed := uint64(c.start.UnixNano())
 	return &transfers{
-		now: now, start: start, state: budgeter.New[registrar.AdapterKey](budgeter.Config{}), rng: rand.New(rand.NewPCG(seed, seed>>1)),
+		clock: c, state: budgeter.New[registrar.AdapterKey](budgeter.Config{}), rng: rand.New(rand.NewPCG(seed, seed>>1)),
 		wakes: map[registrar.AdapterKey]chan struct{}{},
 	}
 }
 
-func (t *transfers) elapsed() time.Duration { return t.now().Sub(t.start) }
-
 // observe applies a sidecar's report. The caller holds the fleet's lock, and the endpoint still has its previous state.
 func (t *transfers) observe(e *endpoint, s *wire.EngineState) {
 	t.mu.Lock()
@@ -213,10 +208,10 @@
 		ID: x.transfer.id, Since: x.transfer.since, Objective: objective.Sub(t.start) - processing, Deadline: x.deadline.Sub(t.start) - processing,
 	}
 	wake, isStarted := t.request(adapterLoad{Adapter: x.call.Model, Engine: e.key}, r)
-	x.transfer.isQueued = !isStarted
 	if isStarted {
 		return true, nil
 	}
+	x.transfer.isQueued = true
 	if stats := x.f.Transfers(); remaining < stats.BaseTime {
 		return false, refuseUnavailable("transfer-budget", transferRetryAfter)
 	}
@@ -231,7 +226,8 @@
 	return false, nil
 }
 
-// leaveTransferQueue removes the request from the queue for loads.
+// leaveTransferQueue removes the request from the queue for loads. A request that has joined a load must not stay there,
+// because the start that is granted to it then keeps a place from others.
 func (x *exchange) leaveTransferQueue() {
 	if x.transfer.isQueued {
 		x.transfer.isQueued = false
