A fleet that has restarted as a whole is not paced

An engine that is only paced, not cold, is free while more than half of the service's endpoints are paced; the rate of cold engines stays bounded.

--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -159,14 +159,16 @@
 	log             zerolog.Logger
 	// demandOf counts the requests for each service, and shares divides the rates of cold endpoints without a sidecar.
 	demandOf map[string]*serviceDemand
-	shares   throttler.Throttler[string]
-	rng      *rand.Rand
+	// mostlyPaced holds the services of whose endpoints more than half are paced, as of the last liveness check.
+	mostlyPaced map[string]bool
+	shares      throttler.Throttler[string]
+	rng         *rand.Rand
 }
 
 // newFleet returns a view without endpoints.
 func newFleet(c *Config, r *reports) *fleet {
 	return &fleet{
-		start: c.Now(), vm: c.VM, log: c.Log, demandOf: map[string]*serviceDemand{}, rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>2)),
+		start: c.Now(), vm: c.VM, log: c.Log, demandOf: map[string]*serviceDemand{}, mostlyPaced: map[string]bool{}, rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>2)),
 		shares: throttler.New[string](throttler.Config{MaxUsers: pacer.FallbackUsers}, c.VM, 0),
 		domain: c.Domain, now: c.Now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
 		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, reports: r,
--- a/internal/forwarder/liveness.go
+++ b/internal/forwarder/liveness.go
@@ -118,6 +118,7 @@
 		}
 	}
 	f.checkedAt = now
+	f.updateMostlyPaced(now)
 	changes, known, silent := f.updateLiveness(now)
 	if silent == 0 || 2*silent > known {
 		// If most endpoints are silent, the fault is more likely near this entry than at each endpoint.
--- a/internal/forwarder/pacing.go
+++ b/internal/forwarder/pacing.go
@@ -156,6 +156,8 @@
 	switch {
 	case !p.isExpected(now):
 		return free
+	case !p.isCold(now) && f.mostlyPaced[e.Service]:
+		return free
 	case hasSidecar && !p.isSilent(now):
 		if p.holder.Available(f.elapsed(now)) > 0 {
 			return byGrant
@@ -172,6 +174,23 @@
 	return closed
 }
 
+// updateMostlyPaced finds the services of whose endpoints more than half are paced. After a restart of the whole fleet
+// there are no others that could take the load meanwhile, and pacing all of them rejects more than it protects.
+func (f *fleet) updateMostlyPaced(now time.Time) {
+	clear(f.mostlyPaced)
+	for service, list := range f.byService {
+		paced := 0
+		for _, e := range list {
+			if e.pace.isExpected(now) {
+				paced++
+			}
+		}
+		if 2*paced > len(list) {
+			f.mostlyPaced[service] = true
+		}
+	}
+}
+
 func (f *fleet) elapsed(now time.Time) time.Duration { return now.Sub(f.start) }
 
 // takePace uses a grant or a share if the endpoint needs one, and reports whether the request may be sent.
--- a/internal/forwarder/pacing_test.go
+++ b/internal/forwarder/pacing_test.go
@@ -149,3 +149,17 @@
 	assert.Assert(t, p.pace() == nil, "an endpoint of a fleet that starts is paced")
 	assert.Equal(t, p.try(t), 200)
 }
+
+// TestRestartedFleetIsNotPaced guards against rejections after a restart of all engines, when no other engine could take the
+// load. A cold engine still takes a bounded rate only.
+func TestRestartedFleetIsNotPaced(t *testing.T) {
+	p := newPacedFleet(t, &registrar.Engine{Batch: 4})
+	p.SetEndpoints([]registrar.Endpoint{p.listed})
+	p.hear(true, 0)
+	assert.Equal(t, p.try(t), 0)
+	p.CheckLiveness()
+	assert.Equal(t, p.try(t), 200)
+	p.listed.ColdRemaining = time.Hour
+	p.SetEndpoints([]registrar.Endpoint{p.listed})
+	assert.Equal(t, p.try(t), 0)
+}
