--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 build:
 	go build -o geraniumladder ./cmd/geraniumladder
 test:
-	go test ./...
+	go run ./cmd/tester
 lint:
 	golangci-lint run ./...
 generate:
