The wall clock decides nothing in an entry

An entry kept the time of an attempt's last event and the time of its planned stop as Unix times. When the wall clock was set forward by a second, every request at a silent endpoint was given up however recent its events, when it was set back none was, and a stop refused or accepted requests by the step. Settling a call as not run compared an entry's wall clock with the operator's without a margin, so that a call could be settled while it ran.

--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -527,7 +527,7 @@
 // prepare writes the objects that the commit refers to and returns the writes of its transaction. An object that no
 // committed row refers to has no effect, so a failed attempt needs no clean-up; a retry writes the same objects again.
 func (c *commit) prepare(ctx context.Context, s storedState, p plan, before, after merger.Items) ([]storer.Write, ApplyResult, error) {
-	number, now := s.head.Revision+1, c.Now().UnixMilli()
+	number, now := s.head.Revision+1, c.Now().UnixMilli() //nolint:forbidigo // Shown to operators only.
 	result := ApplyResult{Revision: number, Committed: true, Delta: merger.Diff(before, after), Manifest: p.manifest}
 	head := wire.HeadRow{Revision: number, Mark: c.mark, CommittedMs: now, Files: maps.Clone(s.head.Files), Snapshot: s.head.Snapshot}
 	if head.Files == nil {
--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -71,7 +71,7 @@
 // Sign returns the value of SignatureHeader for a request: the time in milliseconds and the MAC, as in
 // "1760000000000.9f86d0...".
 func (s Signer) Sign(method, path, requestID string, now time.Time) string {
-	millis := strconv.FormatInt(now.UnixMilli(), 10)
+	millis := strconv.FormatInt(now.UnixMilli(), 10) //nolint:forbidigo // Verify allows for the skew of clocks.
 	return millis + "." + s.mac(method, path, requestID, millis)
 }
 
@@ -86,7 +86,7 @@
 	if err != nil {
 		return ErrInvalidSignature
 	}
-	if skew := now.Sub(time.UnixMilli(signed)).Abs(); skew > s.maxSkew {
+	if skew := now.Sub(time.UnixMilli(signed)).Abs(); skew > s.maxSkew { //nolint:forbidigo // Bounds the replay of a signature; DefaultMaxSkew exceeds the jumps of clocks.
 		return errors.WithDetail(ErrInvalidSignature, fmt.Sprintf("clock skew of %s; synchronise the clocks of the VMs", skew))
 	}
 	if !hmac.Equal([]byte(mac), []byte(s.mac(method, path, requestID, millis))) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -224,7 +224,7 @@
 
 // NewIncarnation returns a unique name for a process started at the given time. Names sort by start time.
 func NewIncarnation(started time.Time) string {
-	return fmt.Sprintf("%019d-%s", started.UnixNano(), uuid.NewString()[:8])
+	return fmt.Sprintf("%019d-%s", started.UnixNano(), uuid.NewString()[:8]) //nolint:forbidigo // Only compared for order.
 }
 
 // Incarnation returns the name of this run of the process.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -112,9 +112,8 @@
 	start         time.Time
 	retry         atomic.Pointer[retrier.Config]
 	leaving       atomic.Bool
-	// stopAt is the time at which open requests end, in Unix nanoseconds; 0 while the process isn't stopping. ended is
-	// cancelled then.
-	stopAt atomic.Int64
+	// stopAt is the time at which open requests end; nil while the process isn't stopping. ended is cancelled then.
+	stopAt atomic.Pointer[time.Time]
 	ended  context.Context
 	end    context.CancelFunc
 	open   atomic.Int64
@@ -201,14 +200,14 @@
 func (f *Forwarder) Leave() { f.leaving.Store(true) }
 
 // Stop refuses requests from now on that may last beyond a time, as not run.
-func (f *Forwarder) Stop(at time.Time) { f.stopAt.Store(at.UnixNano()) }
+func (f *Forwarder) Stop(at time.Time) { f.stopAt.Store(&at) }
 
 // End ends all open requests, each with an answer unless its response has begun.
 func (f *Forwarder) End() { f.end() }
 
 // refuseStopping returns a refusal if the process stops before the deadline.
 func (f *Forwarder) refuseStopping(deadline time.Time) *Refusal {
-	if at := f.stopAt.Load(); at != 0 && deadline.UnixNano() > at {
+	if at := f.stopAt.Load(); at != nil && deadline.After(*at) {
 		return refuseStopping()
 	}
 	return nil
--- a/internal/forwarder/liveness.go
+++ b/internal/forwarder/liveness.go
@@ -25,7 +25,10 @@
 	isRetryable bool
 	// callerDeadline is the deadline of the caller's request.
 	callerDeadline time.Time
-	// lastProgress is the time when bytes last arrived, in Unix nanoseconds; initially the time of sending.
+	// begunAt is the time when the attempt was made.
+	begunAt time.Time
+	// lastProgress is the time from begunAt to the last complete event, a time.Duration. It is monotonic, because a Unix
+	// time would end attempts when the wall clock is set forward.
 	lastProgress atomic.Int64
 	// parts are the shared parts of the request's prompt.
 	parts []string
@@ -45,15 +48,18 @@
 	if !x.sentTo[key] {
 		sentTo++
 	}
-	a := &attempt{
+	return &attempt{
 		requestID: x.call.ID, service: x.service, conn: conn, isRetryable: x.route.IsIdempotent() && sentTo < x.route.Attempts, callerDeadline: x.deadline,
-		parts: x.call.sharedParts, homes: x.homes,
+		parts: x.call.sharedParts, homes: x.homes, begunAt: x.f.config.Now(),
 	}
-	a.recordProgress(x.f.config.Now())
-	return a
 }
 
-func (a *attempt) recordProgress(now time.Time) { a.lastProgress.Store(now.UnixNano()) }
+func (a *attempt) recordProgress(now time.Time) { a.lastProgress.Store(int64(now.Sub(a.begunAt))) }
+
+// idle returns the time since the last progress.
+func (a *attempt) idle(now time.Time) time.Duration {
+	return now.Sub(a.begunAt) - time.Duration(a.lastProgress.Load())
+}
 
 // addAttempt records an attempt that is about to be sent. It returns false if the endpoint must not get it any more.
 func (f *fleet) addAttempt(e *endpoint, a *attempt) bool {
@@ -156,11 +162,11 @@
 func (f *fleet) stalledAttempts(e *endpoint, now time.Time) []stalledAttempt {
 	var list []stalledAttempt
 	for a := range e.attempts {
-		lastProgress := time.Unix(0, a.lastProgress.Load())
-		if !a.isRetryable || a.isAbandoned.Load() || now.Sub(lastProgress) < abandonAfterIdle || a.callerDeadline.Sub(now) < minRemaining || !f.hasAlternative(e, a.homes) {
+		idle := a.idle(now)
+		if !a.isRetryable || a.isAbandoned.Load() || idle < abandonAfterIdle || a.callerDeadline.Sub(now) < minRemaining || !f.hasAlternative(e, a.homes) {
 			continue
 		}
-		list = append(list, stalledAttempt{attempt: a, endpoint: e.ID, idle: now.Sub(lastProgress)})
+		list = append(list, stalledAttempt{attempt: a, endpoint: e.ID, idle: idle})
 	}
 	return list
 }
--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -49,7 +49,7 @@
 
 func newTransfers(now func() time.Time) *transfers {
 	start := now()
-	seed := uint64(start.UnixNano())
+	seed := uint64(start.UnixNano()) //nolint:forbidigo // A seed.
 	return &transfers{
 		now: now, start: start, state: budgeter.New[registrar.AdapterKey](budgeter.Config{}), rng: rand.New(rand.NewPCG(seed, seed>>1)),
 		wakes: map[registrar.AdapterKey]chan struct{}{},
--- a/internal/inspector/commands.go
+++ b/internal/inspector/commands.go
@@ -201,7 +201,7 @@
 	table := tablewriter.NewTable(out)
 	table.Header("Organisation", "Idempotency-Key", "State", "Since", "Endpoint", "Attempt", "Request ID")
 	for _, c := range calls {
-		since := time.UnixMilli(c.Claim.CreatedMs).UTC().Format(time.RFC3339)
+		since := time.UnixMilli(c.Claim.CreatedMs).UTC().Format(time.RFC3339) //nolint:forbidigo // Shown to operators only.
 		if err := table.Append(c.Organisation, c.Key, string(c.Claim.State), since, c.Claim.Endpoint, c.Claim.Attempt, c.Claim.RequestID); err != nil {
 			return err
 		}
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -217,7 +217,8 @@
 	if err != nil {
 		return err
 	}
-	now := i.config.Now().UnixMilli()
+	// The times in the row are those of an entry's wall clock, which may be ahead of this one.
+	now := i.config.Now().Add(-claimer.MaxClockSkew).UnixMilli() //nolint:forbidigo // MaxClockSkew allows for the jumps of clocks.
 	switch {
 	case call.Claim.State == wire.ClaimRowStateUnknown:
 	case call.Claim.State == wire.ClaimRowStateClaimed && now > call.Claim.DeadlineMs:
@@ -230,7 +231,7 @@
 	// passed. Only then may it be settled as not run.
 	if latestEnd := call.Claim.CreatedMs + claimer.DefaultMaxLifetime.Milliseconds(); !ran && now <= latestEnd {
 		return &SettleError{Call: sk, State: call.Claim.State,
-			Remedy: "it may still be running; settle it as not run after " + time.UnixMilli(latestEnd).UTC().Format(time.RFC3339)}
+			Remedy: "it may still be running; settle it as not run after " + time.UnixMilli(latestEnd).Add(claimer.MaxClockSkew).UTC().Format(time.RFC3339)} //nolint:forbidigo // Shown to operators only.
 	}
 	call.Claim.State = wire.ClaimRowStateSettledNotRun
 	if ran {
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -145,7 +145,7 @@
 	e.router = router.New(router.Config{
 		Settings: settings, Incarnation: incarnation, AdvertiseAddress: base.advertisedAddress, Platform: base.platform,
 		Messenger: base.messenger, Signer: base.signer, Follower: follower, Lender: tokenLender, Meter: base.meter, Log: log,
-		Seed: uint64(time.Now().UnixNano()),
+		Seed: uint64(time.Now().UnixNano()), //nolint:forbidigo // A seed.
 	})
 	e.recorder = e.newRecorder(reporter.DefaultInterval)
 	return e, nil
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -165,7 +165,7 @@
 	e.forwarder = forwarder.New(forwarder.Config{
 		VM: c.VM, Domain: c.Domain, Regions: c.Regions, Translator: c.Translator, Pool: connector.New(connector.Config{}),
 		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Retry: c.Tuning.Retry, EntryCount: e.sharer.EntryCount, Members: e.sharer.Members,
-		AnswerMemory: answerMemory(c.Tuning), Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log, OnEvidence: func() {
+		AnswerMemory: answerMemory(c.Tuning), Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log, OnEvidence: func() { //nolint:forbidigo // A seed.
 			e.hasNewEvidence.Store(true)
 			e.sharer.RequestMessage()
 		},
--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -133,7 +133,7 @@
 	return wire.ClaimRow{
 		RequestID: d.runID, Digest: newClaim.Digest, Entry: newClaim.Entry, Endpoint: d.endpoint.VM, Address: d.endpoint.Address,
 		Incarnation: d.endpoint.Incarnation, Attempt: attempt, State: wire.ClaimRowStateClaimed,
-		CreatedMs: newClaim.Created.UnixMilli(), DeadlineMs: cl.deadline.UnixMilli(),
+		CreatedMs: newClaim.Created.UnixMilli(), DeadlineMs: cl.deadline.UnixMilli(), //nolint:forbidigo // Readers allow for claimer.MaxClockSkew.
 	}
 }
 
@@ -145,7 +145,7 @@
 	return &claimer.Claim{
 		RequestID: c.row.RequestID, Digest: c.row.Digest, Entry: c.row.Entry, Attempt: c.row.Attempt,
 		Sidecar: claimer.Sidecar{Endpoint: c.row.Endpoint, Address: c.row.Address, Incarnation: c.row.Incarnation},
-		State:   claimer.State(c.row.State), Created: time.UnixMilli(c.row.CreatedMs),
+		State:   claimer.State(c.row.State), Created: time.UnixMilli(c.row.CreatedMs), //nolint:forbidigo // The claim outlives processes; claimer allows for MaxClockSkew.
 	}
 }
 
--- a/internal/router/end.go
+++ b/internal/router/end.go
@@ -50,6 +50,7 @@
 		outcome = string(failure.outcome)
 		line = line.Str("Code", failure.code)
 	}
+	//nolint:forbidigo // Logged only.
 	line.Str("RequestId", cl.id).Int64("ArrivedMs", cl.arrived.UnixMilli()).Str("Kind", kind).
 		Str("Organisation", cl.organisation.Name).Str("Route", cl.route.Name).Bool("Repeatable", cl.repeatable).
 		Int("PromptTokens", cl.promptTokens).Int("AnswerTokens", answer).Int("MaxTokens", cl.answerTokens).
--- a/internal/tester/results.go
+++ b/internal/tester/results.go
@@ -61,7 +61,7 @@
 				held[test] += e.Output
 			}
 			return ""
-		case e.Output == "PASS\n" || strings.Contains(e.Output, "[no tests to run]"):
+		case e.Output == "PASS\n" || strings.Contains(e.Output, "no tests to run"):
 			return ""
 		}
 		return e.Output
--- a/pkg/claimer/claim.go
+++ b/pkg/claimer/claim.go
@@ -123,8 +123,8 @@
 	Remember time.Duration
 }
 
-// maxClockSkew is the allowed difference between the wall clocks of two VMs. Signatures with a larger one are rejected.
-const maxClockSkew = 30 * time.Second
+// MaxClockSkew is the allowed difference between the wall clocks of two VMs. Signatures with a larger one are rejected.
+const MaxClockSkew = 30 * time.Second
 
 // Kind is the kind of a Decision.
 type Kind int
@@ -219,7 +219,7 @@
 	if remember == 0 {
 		remember = DefaultRetention
 	}
-	return remember - 2*maxClockSkew
+	return remember - 2*MaxClockSkew
 }
 
 func (c Claim) joinDecision() Decision {
