--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -46,7 +46,7 @@
 }
 
 func newTransfers(c clock) *transfers {
-	seed := uint64(c.start.UnixNano())
+	seed := uint64(c.start.UnixNano()) //nolint:forbidigo // A seed.
 	return &transfers{
 		clock: c, state: budgeter.New[registrar.AdapterKey](budgeter.Config{}), rng: rand.New(rand.NewPCG(seed, seed>>1)),
 		wakes: map[registrar.AdapterKey]chan struct{}{},
