States cross failure-domain borders through entries in turn

A sidecar's state crossed a border once for each entry there, and an entry sent its demand to each sidecar every 0.6 s even if it had not used the engine: of the messages between processes these were 288 and 127 KB/s over borders at 28 entries, 51 sidecars and 4 domains (sizes encoded with the codec, rates from the intervals). Entries now state in some of their demands that they forward, sidecars choose recipients with pkg/multicaster, and a datagram with the prefix 0x02 is forwarded without it, from a bounded queue. An entry that is leaving, has just started or has lost its domain's other entries states no domain and is served directly, as are earlier releases.

The tests of platform and of the packages touched pass.

--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -89,6 +90,10 @@
 	reportedPrefill float64
 	// isDirty means that pendingPrefill has grown and should be sent to the sidecar soon.
 	isDirty bool
+	// steadyDemandAt is when the demand was last sent because of the time alone; zero before the first.
+	steadyDemandAt time.Time
+	// isDemandIdle is set if the demand that was last sent is idle. The sidecar counts one that isn't until it gets another.
+	isDemandIdle bool
 	// failureRate is the moving average of failures at the time failureAt.
 	failureRate         float64
 	failureAt           time.Time
@@ -666,10 +671,33 @@
 	return list
 }
 
+// steadyDemands returns the demands that are sent because of the time alone. Those without requests are returned once in
+// idleInterval, unless the sidecar still counts requests or isn't heard of: it may have restarted and know no entry.
+func (f *fleet) steadyDemands(idleInterval time.Duration) []EngineDemand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	var list []EngineDemand
+	for _, e := range f.byIncarnation {
+		if e.engine == nil {
+			continue
+		}
+		wasIdle := e.isDemandIdle
+		if d := e.demand(now); !wasIdle || !e.isDemandIdle || e.liveness != detector.Heard || now.Sub(e.steadyDemandAt) >= idleInterval {
+			e.steadyDemandAt = now
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// speedPrecision is the number of steps of a told speed between 0 and 1. More digits would be a fifth of an idle demand.
+const speedPrecision = 1000
+
 func (e *endpoint) demand(now time.Time) EngineDemand {
 	e.reportedPrefill = e.pendingPrefill
 	d := EngineDemand{Address: e.Address, Message: wire.EntryDemand{
-		EndpointID: e.ID, UnreadTokens: int64(e.pendingPrefill), Speed: e.speed.OwnSpeed(now), Wanted: []wire.AdapterDemand{}, Used: []wire.AdapterDemand{},
+		EndpointID: e.ID, UnreadTokens: int64(e.pendingPrefill), Speed: math.Round(e.speed.OwnSpeed(now)*speedPrecision) / speedPrecision, Wanted: []wire.AdapterDemand{}, Used: []wire.AdapterDemand{},
 	}}
 	for key, u := range e.usage {
 		if key.Model == "" {
@@ -685,6 +713,7 @@
 			d.Message.Used = append(d.Message.Used, a)
 		}
 	}
+	e.isDemandIdle = d.Message.IsIdle()
 	return d
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -543,6 +543,11 @@
 // Demands returns the demand on each engine, or on the one at the address if it is not empty.
 func (f *Forwarder) Demands(address string) []EngineDemand { return f.fleet.demands(address) }
 
+// SteadyDemands returns the demands that are due. Those on engines without requests are due once in idleInterval.
+func (f *Forwarder) SteadyDemands(idleInterval time.Duration) []EngineDemand {
+	return f.fleet.steadyDemands(idleInterval)
+}
+
 // ChangedDemands returns the demands that have changed and should be sent to the sidecars soon.
 func (f *Forwarder) ChangedDemands() []EngineDemand { return f.fleet.dirtyDemands() }
 
--- a/internal/forwarder/transfers_test.go
+++ b/internal/forwarder/transfers_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -188,3 +191,37 @@
 	assert.Equal(t, other.count(), 1)
 	assert.Equal(t, f.Transfers().InFlight, 0)
 }
+
+// TestIdleDemandIsSentLessOften guards against demands on unused engines at each interval, and against sidecars that go on
+// counting requests that have ended, or that learn late of the entry after a restart.
+func TestIdleDemandIsSentLessOften(t *testing.T) {
+	// Steps of the clock are much longer than the test takes.
+	const step, idleInterval = 6 * time.Minute, 10 * time.Minute
+	var passed, dueDuring atomic.Int64
+	var f *fixture
+	e := newEndpoint(t, "e", func(c net.Conn, r *http.Request, n int) bool {
+		dueDuring.Add(int64(len(f.SteadyDemands(idleInterval))))
+		return ok(c, r, n)
+	})
+	f = newFixtureWith(t, translator{}, func() time.Time { return time.Now().Add(time.Duration(passed.Load())) }, e)
+	f.useEngines()
+	f.SetEndpoints([]registrar.Endpoint{e.registered("s")})
+	due := func(pass time.Duration) int {
+		passed.Add(int64(pass))
+		f.CheckLiveness()
+		s := engineState(e, []string{"a1"}, nil)
+		s.NextWithinMilliseconds = 1000
+		f.SetState(s)
+		f.CheckLiveness()
+		return len(f.SteadyDemands(idleInterval))
+	}
+	assert.DeepEqual(t, []int{due(0), due(step), due(step)}, []int{1, 0, 1})
+	assert.Equal(t, f.send(t, "/model/", "", "Uses", "base/a1").status, 200)
+	assert.Equal(t, dueDuring.Load(), int64(1))
+	assert.DeepEqual(t, []int{due(step), due(step)}, []int{1, 0})
+	for range 100 {
+		passed.Add(int64(80 * time.Millisecond))
+		f.CheckLiveness()
+	}
+	assert.Equal(t, len(f.SteadyDemands(idleInterval)), 1)
+}
--- a/internal/gossiper/codec.go
+++ b/internal/gossiper/codec.go
@@ -14,6 +14,9 @@
 	// formatFlate is the first byte of a datagram that contains an envelope compressed with dictionary. A datagram with
 	// any other first byte is an uncompressed envelope.
 	formatFlate = 0x01
+	// formatForward is the first byte of a datagram that the recipient forwards without this byte. What follows is a
+	// datagram of another format, so that a forwarded datagram is not forwarded again.
+	formatForward = 0x02
 	// compressionLevel is the lowest compression level that uses a dictionary.
 	compressionLevel = 2
 	// maxDecompressedSize is the maximum decompressed size of a datagram.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -1,8 +1,10 @@
 // Package gossiper exchanges small JSON messages between the system's processes as compressed UDP datagrams. UDP has no
 // connection that can hang, and each message supersedes earlier ones, so a lost datagram needs no retransmission.
 //
-// State: one socket, the sequence number of the last message sent, and that of the last message received from each
-// sender. The package does not use the store.
+// A message to the members of another failure domain is sent to one of them, which forwards it.
+//
+// State: one socket, the sequence number of the last message sent, that of the last message received from each sender,
+// and a short queue of datagrams to be forwarded. The package does not use the store.
 package gossiper
 
 import (
@@ -57,6 +59,9 @@
 	mu        sync.Mutex
 	addresses map[string]*net.UDPAddr
 	rejected  atomic.Int64
+	// forwards holds datagrams to be forwarded; nil if this process forwards none.
+	forwards chan []byte
+	forward  ForwardConfig
 }
 
 // Listen opens the UDP socket and returns its Gossiper. Run receives the datagrams.
@@ -103,6 +108,10 @@
 		g.log.Error().Err(err).Str("Kind", kind).Msg("gossiper: encoding message failed")
 		return
 	}
+	g.write(kind, packet, to)
+}
+
+func (g *Gossiper) write(kind string, packet []byte, to []string) {
 	for _, address := range to {
 		resolved, err := g.resolve(address)
 		if err == nil {
@@ -147,6 +156,7 @@
 }
 
 func (g *Gossiper) receive(decoder *decompressor, packet []byte, from string) {
+	packet = g.takeForward(packet)
 	e, err := decoder.decode(packet)
 	if err == nil {
 		if handle, ok := g.handlers[e.Kind]; ok {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -41,6 +41,8 @@
 	refusals      metric.Int64Counter
 	retries       metric.Int64Counter
 	reports       metric.Int64Counter
+	states        metric.Int64Counter
+	stateBytes    metric.Int64Counter
 	tokens        metric.Int64Counter
 	loads         metric.Int64Counter
 	stalls        metric.Int64Counter
@@ -96,6 +98,8 @@
 	m.refusals = counter("geraniumladder.refusals", "{request}", "Requests refused before they ran, by reason.")
 	m.retries = counter("geraniumladder.retries", "{request}", "Second and later dispatches.")
 	m.reports = counter("geraniumladder.endpoint.reports", "{report}", "Reports of endpoints in responses, by kind.")
+	m.states = counter("geraniumladder.states", "{datagram}", "Datagrams with engine states sent, by path.")
+	m.stateBytes = counter("geraniumladder.states.size", "By", "Bytes of datagrams with engine states sent, by path.")
 	m.tokens = counter("geraniumladder.tokens", "{token}", "Tokens, by kind prompt or answer.")
 	m.loads = counter("geraniumladder.adapter.loads", "{load}", "Adapter loads, by result.")
 	m.stalls = counter("geraniumladder.load.stalls", "{request}", "Requests that waited for an adapter load.")
@@ -170,6 +174,13 @@
 	m.reports.Add(context.Background(), 1, metric.WithAttributes(attribute.String("Kind", kind)))
 }
 
+// States counts sent datagrams with engine states and their bytes; path is direct, relay, forwarded or dropped.
+func (m *Meter) States(path string, datagrams, bytes int) {
+	option := metric.WithAttributes(attribute.String("Path", path))
+	m.states.Add(context.Background(), int64(datagrams), option)
+	m.stateBytes.Add(context.Background(), int64(bytes), option)
+}
+
 // Tokens adds n tokens; kind is prompt or answer.
 func (m *Meter) Tokens(organisation, kind string, n int) {
 	m.tokens.Add(context.Background(), int64(n), organisationAttributes(organisation, "Kind", kind))
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/multicaster"
 )
 
 const (
@@ -34,8 +36,13 @@
 	minSendInterval       = 50 * time.Millisecond
 	// sendIntervalPerEntry is the additional interval per entry.
 	sendIntervalPerEntry = 10 * time.Millisecond
-	// demandTTL is how long an entry's demand stays valid without a new message.
-	demandTTL = 3 * time.Second
+	// demandTTL is how long an entry's demand stays valid without a new message, and idleDemandTTL the same for one without
+	// requests, which the entry repeats less often.
+	demandTTL     = 3 * time.Second
+	idleDemandTTL = 5 * time.Second
+	// relayTTL is how long after its last message an entry is named to forward states. It is longer than two intervals of
+	// an idle entry's messages, so that the loss of one doesn't matter.
+	relayTTL = 2500 * time.Millisecond
 	// weightHalfLife is the half-life of past requests in the weight by which an adapter to unload is chosen.
 	weightHalfLife = 20 * time.Second
 	// maxConcurrentLoads is the number of adapters that one engine loads at the same time. The engine allows four, but
@@ -125,6 +132,8 @@
 // Config configures an Orderer.
 type Config struct {
 	VM string
+	// Domain is the failure domain of this VM.
+	Domain string
 	// Address is the HOST:PORT of the engine.
 	Address string
 	Engine  Engine
@@ -139,10 +148,12 @@
 	NewFencingToken func(ctx context.Context) (int64, error)
 	// ObserveLoad records a finished load, with the result "ok" or "failed" and the time since the order.
 	ObserveLoad func(result string, took time.Duration)
-	// SendState sends the engine's state to the entries at the given addresses.
-	SendState func(s wire.EngineState, to []string)
+	// SendState sends the engine's state to the entries.
+	SendState func(s wire.EngineState, to multicaster.Recipients)
 	Now       func() time.Time
-	Log       zerolog.Logger
+	// Seed seeds the order in which entries forward states.
+	Seed uint64
+	Log  zerolog.Logger
 }
 
 // Capacity is the limits of what an engine may hold.
@@ -162,8 +173,12 @@
 
 // entryDemand is the latest demand of one entry.
 type entryDemand struct {
-	updatedAt         time.Time
-	address           string
+	updatedAt time.Time
+	boot      string
+	address   string
+	// domain is empty if states for the entry are not to be sent through others.
+	domain            string
+	isIdle            bool
 	unprocessedTokens int64
 	// speed is the engine's speed as the entry has observed it; 0 if it has not.
 	speed         float64
@@ -202,6 +217,8 @@
 	recipientCount int
 	adaptersSentAt time.Time
 	isActive       bool
+	multicaster    multicaster.Multicaster
+	rng            *rand.Rand
 }
 
 // weight is an exponentially decayed count of requests.
@@ -220,7 +237,8 @@
 	return &Orderer{
 		config: c, wake: make(chan struct{}, 1), entries: map[string]entryDemand{},
 		requestCounts: map[string]map[Adapter]int{}, weights: map[Adapter]weight{}, waitingSince: map[Adapter]time.Time{},
-		pendingLoads: map[Adapter]time.Time{},
+		pendingLoads: map[Adapter]time.Time{}, multicaster: multicaster.New(multicaster.Config{Domain: c.Domain}),
+		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)),
 	}
 }
 
@@ -229,13 +247,21 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.config.Now()
-	demand := entryDemand{updatedAt: now, address: from, unprocessedTokens: d.UnreadTokens, speed: d.Speed, adapterDemand: map[Adapter]Demand{}}
+	demand := entryDemand{
+		updatedAt: now, boot: d.Boot, address: from, isIdle: d.IsIdle(), unprocessedTokens: d.UnreadTokens, speed: d.Speed, adapterDemand: map[Adapter]Demand{},
+	}
 	counts := o.requestCounts[d.VM]
 	if counts == nil {
 		counts = map[Adapter]int{}
 		o.requestCounts[d.VM] = counts
 	}
 	previous := o.entries[d.VM]
+	switch {
+	case d.FailureDomain != nil:
+		demand.domain = *d.FailureDomain
+	case previous.boot == d.Boot:
+		demand.domain = previous.domain
+	}
 	isSignificant := previous.address != from || previous.unprocessedTokens+tokenWakeThreshold < d.UnreadTokens
 	for _, u := range d.Used {
 		a := Adapter{Model: u.Model, Name: u.Adapter}
@@ -298,20 +324,24 @@
 	return speeds[len(speeds)/2]
 }
 
-// totalDemand drops expired demand and returns the sum of the rest by adapter, and the addresses of the entries.
-func (o *Orderer) totalDemand() (map[Adapter]Demand, []string) {
+// totalDemand drops expired demand and returns the sum of the rest by adapter, and the entries.
+func (o *Orderer) totalDemand() (map[Adapter]Demand, []multicaster.Member) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.config.Now()
 	sum := map[Adapter]Demand{}
-	var recipients []string
+	var recipients []multicaster.Member
 	for vm, e := range o.entries {
-		if now.Sub(e.updatedAt) > demandTTL {
+		age, ttl := now.Sub(e.updatedAt), demandTTL
+		if e.isIdle {
+			ttl = idleDemandTTL
+		}
+		if age > ttl {
 			delete(o.entries, vm)
 			delete(o.requestCounts, vm)
 			continue
 		}
-		recipients = append(recipients, e.address)
+		recipients = append(recipients, multicaster.Member{Name: vm, Address: e.address, Domain: e.domain, CanRelay: age <= relayTTL})
 		for a, d := range e.adapterDemand {
 			s := sum[a]
 			s.Version = max(s.Version, d.Version)
@@ -338,7 +368,6 @@
 			sum[a] = s
 		}
 	}
-	slices.Sort(recipients)
 	return sum, recipients
 }
 
@@ -395,7 +424,7 @@
 	return o.config.Engine.Report(ctx)
 }
 
-func (o *Orderer) handleReportFailure(err error, recipients []string) {
+func (o *Orderer) handleReportFailure(err error, recipients []multicaster.Member) {
 	o.failedReports++
 	if o.failedReports == downThreshold {
 		o.config.Log.Warn().Err(err).Msg("orderer: engine lost")
@@ -403,7 +432,8 @@
 	if o.failedReports >= downThreshold {
 		down := o.sentState
 		down.Address, down.IsDown = o.config.Address, true
-		o.sendState(down, recipients, o.failedReports == downThreshold, false)
+		isChange := o.failedReports == downThreshold
+		o.sendState(down, recipients, publication{isDue: isChange, isChange: isChange})
 	}
 }
 
@@ -535,7 +565,7 @@
 // publishState sends the engine's state to the entries: at once when its adapters have changed or an entry has been
 // added, after a minimum interval when its load or the use of its adapters has changed, and otherwise at the interval of
 // nextSendWithin.
-func (o *Orderer) publishState(r Report, demands map[Adapter]Demand, recipients []string) {
+func (o *Orderer) publishState(r Report, demands map[Adapter]Demand, recipients []multicaster.Member) {
 	adapters := &wire.EngineAdapters{Resident: adapterNames(r.Resident), Loading: adapterNames(r.Loading)}
 	for model, version := range r.Models {
 		adapters.Resident = append(adapters.Resident, wire.AdapterName{Model: model, Version: version})
@@ -559,7 +589,10 @@
 	// The number of messages from all sidecars grows with the number of entries, so the interval grows with it.
 	minInterval := max(minSendInterval, time.Duration(len(recipients))*sendIntervalPerEntry)
 	o.recipientCount = len(recipients)
-	o.sendState(s, recipients, adaptersChanged || (loadChanged || useChanged) && o.config.Now().Sub(o.sentAt) >= minInterval, adaptersChanged || useChanged)
+	o.sendState(s, recipients, publication{
+		isDue:    adaptersChanged || (loadChanged || useChanged) && o.config.Now().Sub(o.sentAt) >= minInterval,
+		isChange: adaptersChanged, withAdapters: adaptersChanged || useChanged,
+	})
 }
 
 // equalIgnoringUse reports whether two adapters are equal apart from IsUsed.
@@ -568,24 +601,35 @@
 	return a == b
 }
 
-// sendState sends the state if isDue is set or nextSendWithin has passed since the last message. It leaves out unchanged
+// publication is how a state is sent.
+type publication struct {
+	// isDue is set if it is sent at once.
+	isDue bool
+	// isChange is set if the adapters have changed or the engine has become unavailable.
+	isChange     bool
+	withAdapters bool
+}
+
+// sendState sends the state if it is due or nextSendWithin has passed since the last message. It leaves out unchanged
 // adapters, but includes them again after maxSendInterval because a datagram may be lost.
-func (o *Orderer) sendState(s wire.EngineState, recipients []string, isDue, withAdapters bool) {
+func (o *Orderer) sendState(s wire.EngineState, recipients []multicaster.Member, p publication) {
 	now := o.config.Now()
-	if !isDue && now.Sub(o.sentAt) < nextSendWithin(&o.sentState, len(recipients)) {
+	if !p.isDue && now.Sub(o.sentAt) < nextSendWithin(&o.sentState, len(recipients)) {
 		return
 	}
 	// The next message is sent by the first poll after the interval, which adds up to one poll interval.
 	s.NextWithinMilliseconds = (nextSendWithin(&s, len(recipients)) + idlePollInterval).Milliseconds()
 	o.sentState, o.sentAt = s, now
-	if !withAdapters && now.Sub(o.adaptersSentAt) < maxSendInterval {
+	if !p.withAdapters && now.Sub(o.adaptersSentAt) < maxSendInterval {
 		s.Adapters = nil
 	} else {
 		o.adaptersSentAt = now
 	}
 	if len(recipients) > 0 {
 		s.Transfers, o.transfers = o.transfers, nil
-		o.config.SendState(s, recipients)
+		var to multicaster.Recipients
+		o.multicaster, to = o.multicaster.WithMessage(recipients, multicaster.Message{IsChange: p.isChange}, o.rng)
+		o.config.SendState(s, to)
 	}
 }
 
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -18,6 +18,7 @@
 
 	"geraniumladder/internal/orderer"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/multicaster"
 )
 
 var capacity = orderer.Capacity{
@@ -260,6 +261,7 @@
 type recorder struct {
 	mu     sync.Mutex
 	states []wire.EngineState
+	sentTo []multicaster.Recipients
 	loads  []string
 }
 
@@ -282,7 +284,10 @@
 		VM: "vm", Address: "10.0.0.1:1", Engine: e, Capacity: func() *orderer.Capacity { return &capacity },
 		ReserveLoad: func(context.Context) (bool, error) { return true, nil }, NewFencingToken: fence,
 		ObserveLoad: func(result string, _ time.Duration) { out.inspect(func() { out.loads = append(out.loads, result) }) },
-		SendState:   func(s wire.EngineState, _ []string) { out.inspect(func() { out.states = append(out.states, s) }) },
+		SendState: func(s wire.EngineState, to multicaster.Recipients) {
+			out.inspect(func() { out.states, out.sentTo = append(out.states, s), append(out.sentTo, to) })
+		},
+		Domain:      "z0",
 		IsEvacuated: func() bool { return false },
 		Now:         time.Now, Log: zerolog.Nop(),
 	})
@@ -415,3 +420,48 @@
 		assert.DeepEqual(t, warm, []bool{false, false, false, false, false, false, true})
 	})
 }
+
+// TestStatesGoThroughEntriesThatForward guards against states sent through entries that have not named their domain in
+// this run, that have withdrawn it or are silent, against changes and lost engines told through one entry only, and
+// against idle entries forgotten between two of their messages.
+func TestStatesGoThroughEntriesThatForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, out := newFakeEngine("base"), &recorder{}
+		o := newOrderer(e, out, func(context.Context) (int64, error) { return 1, nil })
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan error)
+		go func() { end <- o.Run(ctx) }()
+		near, far, none := "z0", "z1", ""
+		set := func(boot string, domain *string, entries ...int) {
+			for _, n := range entries {
+				o.SetDemand(wire.EntryDemand{Boot: boot, VM: strconv.Itoa(n), FailureDomain: domain}, strconv.Itoa(n))
+			}
+		}
+		// assertSent checks the recipients of the last message after the change, and the most relays of a message.
+		assertSent := func(direct, relays, most int, change func()) {
+			t.Helper()
+			out.inspect(func() { out.sentTo = nil })
+			change()
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			got := []int{0, 0, 0}
+			out.inspect(func() {
+				for _, to := range out.sentTo {
+					got = []int{len(to.Direct), len(to.Relays), max(got[2], len(to.Relays))}
+				}
+			})
+			assert.DeepEqual(t, got, []int{direct, relays, most})
+		}
+		assertSent(5, 0, 0, func() { set("a", nil, 0, 1, 2, 3, 4) })
+		assertSent(1, 1, 1, func() { set("a", &near, 0); set("a", &far, 1, 2, 3, 4) })
+		assertSent(1, 1, 2, func() { set("a", nil, 0, 1, 2, 3, 4); e.update(func() { e.resident[adapter(1)] = 1 }) })
+		assertSent(1, 1, 2, func() { set("a", nil, 0, 1, 2, 3, 4); e.update(func() { e.isDown = true }) })
+		assertSent(2, 1, 2, func() { set("a", nil, 0, 2, 3, 4); set("b", nil, 1); e.update(func() { e.isDown = false }) })
+		assertSent(2, 1, 1, func() { set("a", nil, 0, 3, 4); set("b", &far, 1); set("a", &none, 2) })
+		time.Sleep(time.Second)
+		// The others are idle and have been silent for three seconds.
+		assertSent(5, 0, 0, func() { set("a", nil, 0, 3, 4) })
+		cancel()
+		assert.ErrorIs(t, <-end, context.Canceled)
+	})
+}
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -60,8 +60,10 @@
 	// have been away. Endpoints register again within about two seconds of its return.
 	maxRegistrationReturn      = 2 * time.Second
 	registrationReturnFraction = 2.0 / 3
-	// demandInterval is the interval at which the demand is sent to every sidecar.
-	demandInterval = 600 * time.Millisecond
+	// demandInterval is the interval at which the demand is sent to the sidecars of engines with requests of this entry,
+	// and idleDemandInterval that at which it is sent to the others. A sidecar forgets such an entry after 5 s without a message, one of an earlier release after 3 s.
+	demandInterval     = 600 * time.Millisecond
+	idleDemandInterval = 2*demandInterval - demandInterval/4
 	// changedDemandInterval is the interval at which demands that have changed are sent.
 	changedDemandInterval = 40 * time.Millisecond
 	pruneInterval         = time.Second
@@ -138,6 +140,11 @@
 	// hasNewEvidence means that the other entries should be told at once what endpoints have shown of themselves.
 	hasNewEvidence atomic.Bool
 
+	// start is when the entry was assembled. domainMu guards domainNotice.
+	start        time.Time
+	domainMu     sync.Mutex
+	domainNotice domainNotice
+
 	// mu serialises changes of the configuration and of the endpoints, which depend on each other.
 	mu           sync.Mutex
 	endpointList []registrar.Endpoint
@@ -154,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{config: c, log: c.Log, gossiper: g, meter: instruments, boot: g.NextStamp().Boot}
+	e := &Entry{config: c, log: c.Log, gossiper: g, meter: instruments, boot: g.NextStamp().Boot, start: time.Now()}
 	e.tuning.Store(&c.Tuning)
 	if err := instruments.EvacuatedDomains(func() int { return e.evacuation.Load().count() }); err != nil {
 		return nil, err
@@ -184,6 +191,7 @@
 		OnChange: e.setEndpoints, Now: time.Now, Log: c.Log,
 		Name: c.VM, Relay: e.relay(c.Platform.EndpointsTable()),
 	})
+	g.SetForward(gossiper.ForwardConfig{Recipients: e.sharer.ForwardAddresses, Observe: instruments.States})
 	gossiper.Handle(g, kindEngineState, func(s wire.EngineState) (string, gossiper.Stamp) {
 		return s.Address, gossiper.Stamp{Boot: s.Boot, Sequence: s.Sequence}
 	}, func(s wire.EngineState, _ string) { e.forwarder.SetState(s) })
@@ -294,9 +302,26 @@
 }
 
 // sendDemand sends this entry's demand to the sidecar of the engine at the address.
-func (e *Entry) sendDemand(address string) { e.sendDemands(e.forwarder.Demands(address), nil) }
+func (e *Entry) sendDemand(address string) {
+	e.sendDemands(e.forwarder.Demands(address), demandStatements{})
+}
+
+// demandStatements are what an entry states in the demands that it sends because of the time alone.
+type demandStatements struct {
+	evacuation *wire.Evacuation
+	domain     *string
+}
+
+// sendSteadyDemands sends demands with this entry's statements.
+func (e *Entry) sendSteadyDemands(demands []forwarder.EngineDemand) {
+	statements := demandStatements{domain: e.relayDomain()}
+	if v := e.evacuation.Load(); v != nil {
+		statements.evacuation = v.encode()
+	}
+	e.sendDemands(demands, statements)
+}
 
-func (e *Entry) sendDemands(demands []forwarder.EngineDemand, statement *wire.Evacuation) {
+func (e *Entry) sendDemands(demands []forwarder.EngineDemand, statements demandStatements) {
 	for _, d := range demands {
 		host, _, err := net.SplitHostPort(d.Address)
 		if err != nil {
@@ -304,7 +329,7 @@
 		}
 		stamp := e.gossiper.NextStamp()
 		d.Message.Boot, d.Message.Sequence, d.Message.VM = stamp.Boot, stamp.Sequence, e.config.VM
-		d.Message.Evacuation = statement
+		d.Message.Evacuation, d.Message.FailureDomain = statements.evacuation, statements.domain
 		e.gossiper.Send(kindEntryDemand, d.Message, net.JoinHostPort(host, strconv.Itoa(e.config.PeerPort)))
 	}
 }
@@ -466,9 +491,9 @@
 		}
 	}
 	addLoop(&group, func(ctx context.Context) error {
-		return looper.Run(ctx, e.gossiper.Run, e.operators.Run, e.endpoints.Run, e.exchangeState, e.forwarder.MeasureDelay,
-			looper.Every(demandInterval, func(context.Context) { e.sendAllDemands() }),
-			looper.Every(changedDemandInterval, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands(), nil) }),
+		return looper.Run(ctx, e.gossiper.Run, e.gossiper.RunForward, e.operators.Run, e.endpoints.Run, e.exchangeState, e.forwarder.MeasureDelay,
+			looper.Every(demandInterval, func(context.Context) { e.sendSteadyDemands(e.forwarder.SteadyDemands(idleDemandInterval)) }),
+			looper.Every(changedDemandInterval, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands(), demandStatements{}) }),
 			looper.Every(forwarder.LivenessInterval, func(context.Context) { e.forwarder.CheckLiveness() }),
 			looper.Every(pruneInterval, func(context.Context) { e.forwarder.Prune() }),
 			looper.Every(copyInterval, e.copyTables), looper.Every(pruneInterval, func(context.Context) { e.setRelayIntervals() }))
--- a/internal/resident/evacuation.go
+++ b/internal/resident/evacuation.go
@@ -33,18 +33,14 @@
 	}
 	e.evacuation.Store(&v)
 	if previous == nil || !maps.Equal(previous.domains, v.domains) {
-		e.sendAllDemands()
+		e.sendSteadyDemands(e.forwarder.Demands(""))
 	}
 }
 
-// sendAllDemands sends each sidecar this entry's demand, and what the entry knows of evacuations. Sidecars read the
-// operators' table too seldom to learn of an evacuation in time, and not at all during an outage of the store.
-func (e *Entry) sendAllDemands() {
-	var statement *wire.Evacuation
-	if v := e.evacuation.Load(); v != nil {
-		statement = &wire.Evacuation{Version: v.version, Domains: slices.AppendSeq([]string{}, maps.Keys(v.domains))}
-	}
-	e.sendDemands(e.forwarder.Demands(""), statement)
+// encode returns the statement for the sidecars. They read the operators' table too seldom to learn of an evacuation in
+// time, and not at all during an outage of the store.
+func (v *evacuation) encode() *wire.Evacuation {
+	return &wire.Evacuation{Version: v.version, Domains: slices.AppendSeq([]string{}, maps.Keys(v.domains))}
 }
 
 // handleEvacuation applies an entry's statement.
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -25,6 +25,40 @@
 	e.operators.SetRelayInterval(relayer.SharedInterval(entries, operatorsWait(*tuning), tuning.ApplyTime/operatorsReadsPerApplyTime))
 }
 
+const (
+	// domainPeriod is the interval at which an entry states in its demands that it forwards states, and domainWindow the
+	// part of it in which it does. The window contains a message to each sidecar, as does the time after a change.
+	domainPeriod = 5 * idleDemandInterval
+	domainWindow = idleDemandInterval + demandInterval
+)
+
+// domainNotice decides in which demands an entry states the failure domain in which it forwards states. The name would be
+// a third of the bytes of an idle demand. It is an immutable value.
+type domainNotice struct {
+	domain    string
+	changedAt time.Duration
+}
+
+// with returns the domain to be stated at the time since the start of the process; nil if it is left out.
+func (n domainNotice) with(domain string, now time.Duration) (domainNotice, *string) {
+	if domain != n.domain {
+		n = domainNotice{domain: domain, changedAt: now}
+	}
+	if now%domainPeriod >= domainWindow && now-n.changedAt > 2*domainWindow {
+		return n, nil
+	}
+	return n, &domain
+}
+
+// relayDomain returns the domain to be stated in demands at present; nil if it is left out.
+func (e *Entry) relayDomain() *string {
+	e.domainMu.Lock()
+	defer e.domainMu.Unlock()
+	var stated *string
+	e.domainNotice, stated = e.domainNotice.with(e.sharer.RelayDomain(), time.Since(e.start))
+	return stated
+}
+
 // relay returns the function that passes changes of the table on to the entries of this failure domain.
 func (e *Entry) relay(table string) func(registrar.Changes) {
 	return func(c registrar.Changes) {
--- a/internal/resident/sidecar.go
+++ b/internal/resident/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"geraniumladder/internal/orderer"
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/multicaster"
 )
 
 // sidecarPollInterval is the interval between two reads of the operators' table. It is long because a sidecar needs only
@@ -85,9 +87,10 @@
 		OnChange: s.setOperators, Now: time.Now, Log: c.Log,
 	})
 	s.orderer = orderer.New(orderer.Config{
-		VM: c.VM, Address: c.EngineAddress, Engine: c.Engine, Capacity: s.capacity.Load,
+		VM: c.VM, Domain: c.Domain, Address: c.EngineAddress, Engine: c.Engine, Capacity: s.capacity.Load,
 		IsEvacuated: func() bool { return s.evacuation.Load().isEvacuated(c.Domain) },
-		ReserveLoad: s.acquireLoadPermit, NewFencingToken: c.NewFencingToken, ObserveLoad: instruments.Load, SendState: s.sendState, Now: time.Now, Log: c.Log,
+		ReserveLoad: s.acquireLoadPermit, NewFencingToken: c.NewFencingToken, ObserveLoad: instruments.Load, SendState: s.sendState,
+		Now: time.Now, Seed: rand.Uint64(), Log: c.Log,
 	})
 	gossiper.Handle(g, kindEntryDemand, func(d wire.EntryDemand) (string, gossiper.Stamp) {
 		return d.VM, gossiper.Stamp{Boot: d.Boot, Sequence: d.Sequence}
@@ -139,10 +142,10 @@
 	s.tuning.Store(&t)
 }
 
-func (s *Sidecar) sendState(state wire.EngineState, to []string) {
+func (s *Sidecar) sendState(state wire.EngineState, to multicaster.Recipients) {
 	stamp := s.gossiper.NextStamp()
 	state.Boot, state.Sequence = stamp.Boot, stamp.Sequence
-	s.gossiper.Send(kindEngineState, state, to...)
+	s.gossiper.SendVia(kindEngineState, state, to.Direct, to.Relays, s.meter.States)
 }
 
 // Run serves until ctx is cancelled. It stops without draining, because requests at the engine continue without the
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -85,11 +85,13 @@
 	tallies map[string]limiter.ReplicatedBucket
 	// groupSize is the number of entries in this entry's group, whose members can all reach each other, and memberCount
 	// the number of all entries; both include this one. A group may spend groupSize/memberCount of each limit.
-	groupSize     int
-	memberCount   int
-	isLeaving     bool
-	lastSeeded    time.Time
-	organisations map[string]*registrar.Organisation
+	groupSize   int
+	memberCount int
+	isLeaving   bool
+	lastSeeded  time.Time
+	// relayableSince is the time since which canRelay has been true; zero while it is not.
+	relayableSince time.Time
+	organisations  map[string]*registrar.Organisation
 }
 
 // New returns a Sharer that knows no other entry.
@@ -417,6 +419,63 @@
 	return addresses
 }
 
+// ForwardAddresses returns the addresses of the other entries of this failure domain to which states are forwarded: all
+// that may be running, because forwarding to one that isn't costs little, and one that is leaving still has requests.
+func (s *Sharer) ForwardAddresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []string
+	for _, p := range s.peers {
+		if p.domain == s.config.Domain && !p.lastReceived.IsZero() {
+			addresses = append(addresses, p.address)
+		}
+	}
+	return addresses
+}
+
+// RelayDomain returns the failure domain in which this entry forwards states and gets those that the others forward. It is
+// empty unless the entry has been in contact for contactTimeout with all entries that may be running there, apart from a
+// quarter or one of them. Otherwise it would miss the states that go through the others.
+func (s *Sharer) RelayDomain() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Now()
+	switch {
+	case !s.canRelay(now):
+		s.relayableSince = time.Time{}
+		return ""
+	case s.relayableSince.IsZero():
+		s.relayableSince = now
+	}
+	if now.Sub(s.relayableSince) < s.contactTimeout() {
+		return ""
+	}
+	return s.config.Domain
+}
+
+// relayJoinTime is the time after the start in which an entry doesn't know all others yet, nor they it.
+const relayJoinTime = 3 * time.Second
+
+// missingDivisor is the divisor of the number of entries of a domain that gives the number that may be out of contact.
+const missingDivisor = 4
+
+func (s *Sharer) canRelay(now time.Time) bool {
+	if s.isLeaving || s.config.Domain == "" || now.Sub(s.start) < relayJoinTime {
+		return false
+	}
+	known, reached := 1, 1
+	for _, p := range s.peers {
+		if p.domain != s.config.Domain || p.lastReceived.IsZero() {
+			continue
+		}
+		known++
+		if s.hasMutualContact(p, now) {
+			reached++
+		}
+	}
+	return known-reached <= max(1, known/missingDivisor)
+}
+
 // PeersWithNewer returns the addresses of reachable entries with a newer copy of the table, newest first.
 func (s *Sharer) PeersWithNewer(table string, version int64) []string {
 	s.mu.Lock()
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -29,7 +29,7 @@
 	e := &cluster{now: time.Unix(1000, 0), blocked: map[[2]int]bool{}, sequences: make([]int64, n)}
 	for i := range n {
 		s := sharer.New(sharer.Config{
-			VM: fmt.Sprint(i), Address: address(i), Seeds: []string{address(0)}, Now: func() time.Time { return e.now }, Log: zerolog.Nop(),
+			VM: fmt.Sprint(i), Domain: "z", Address: address(i), Seeds: []string{address(0)}, Now: func() time.Time { return e.now }, Log: zerolog.Nop(),
 		})
 		s.SetOrganisations(map[string]*registrar.Organisation{"o": organisation})
 		e.sharers = append(e.sharers, s)
@@ -126,3 +126,23 @@
 	e.simulate(3*time.Second, func() {})
 	assert.Equal(t, e.sharers[0].EntryCount(), 2)
 }
+
+// TestEntryOffersToRelayOnlyInContact guards against an entry that is named to forward states, or that depends on those
+// that others forward, although it is leaving, has just started, or has lost the other entries of its domain.
+func TestEntryOffersToRelayOnlyInContact(t *testing.T) {
+	e := newCluster(4)
+	offersAfter := func(d time.Duration) bool {
+		e.simulate(d, func() { e.sharers[1].RelayDomain() })
+		return e.sharers[1].RelayDomain() == "z"
+	}
+	assert.Assert(t, !offersAfter(2*time.Second) && offersAfter(2*time.Second))
+	e.blocked[[2]int{3, 1}] = true
+	assert.Assert(t, offersAfter(2*time.Second))
+	e.blocked[[2]int{1, 2}] = true
+	assert.Assert(t, !offersAfter(2*time.Second))
+	clear(e.blocked)
+	assert.Assert(t, !offersAfter(600*time.Millisecond) && offersAfter(2*time.Second))
+	e.sharers[1].Leave()
+	assert.Assert(t, !offersAfter(200*time.Millisecond))
+	assert.Equal(t, len(e.sharers[2].ForwardAddresses()), 3)
+}
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -419,6 +419,9 @@
 	// Evacuation The failure domains that the operators have evacuated, as of a version of their table.
 	Evacuation *Evacuation `json:"Evacuation,omitempty"`
 
+	// FailureDomain The sender forwards states to the entries of this failure domain, and gets those that they forward. Empty if it can't at present; left out if that hasn't changed.
+	FailureDomain *string `json:"FailureDomain,omitempty"`
+
 	// Sequence Rises with each message of one run.
 	Sequence int64 `json:"Sequence"`
 
