Merge states that cross failure-domain borders once

A change of the pacing goes through two forwarding entries like a change of adapters, and an entry's demand isn't idle while the engine is paced.

--- a/internal/orderer/pacing_test.go
+++ b/internal/orderer/pacing_test.go
@@ -12,6 +12,7 @@
 
 	"geraniumladder/internal/orderer"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/multicaster"
 	"geraniumladder/pkg/pacer"
 )
 
@@ -73,8 +74,10 @@
 			VM: "vm", Address: "10.0.0.1:1", Engine: p.engine, Capacity: func() *orderer.Capacity { return &c },
 			ReserveLoad: func(context.Context) (bool, error) { return true, nil }, NewFencingToken: func(context.Context) (int64, error) { return 1, nil },
 			ObserveLoad: func(string, time.Duration) {}, IsEvacuated: func() bool { return false },
-			SendState: func(s wire.EngineState, _ []string) { p.out.inspect(func() { p.out.states = append(p.out.states, s) }) },
-			Now:       time.Now, Log: zerolog.Nop(),
+			SendState: func(s wire.EngineState, _ multicaster.Recipients) {
+				p.out.inspect(func() { p.out.states = append(p.out.states, s) })
+			},
+			Now: time.Now, Log: zerolog.Nop(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -431,6 +431,9 @@
 	// Evacuation The failure domains that the operators have evacuated, as of a version of their table.
 	Evacuation *Evacuation `json:"Evacuation,omitempty"`
 
+	// FailureDomain The sender forwards states to the entries of this failure domain, and gets those that they forward. Empty if it can't at present; left out if that hasn't changed.
+	FailureDomain *string `json:"FailureDomain,omitempty"`
+
 	// Pace What an entry says to an engine that is paced or that it expects to be. Counts never fall within one process.
 	Pace *EntryPace `json:"Pace,omitempty"`
 
