Pacing ends when the endpoint gets all that its demand asks for

The limit now also ends after 3 s in which less than half of it was in use with timely responses only, and a late response counts only if it took twice as long as expected.

--- a/internal/forwarder/pacing.go
+++ b/internal/forwarder/pacing.go
@@ -261,13 +261,18 @@
 	return n
 }
 
+// lateFactor is how often the expected time to the first event a late response must have taken to count against the pace.
+// In an overloaded fleet most responses are late at all endpoints, which is no sign that this one needs a lower limit.
+const lateFactor = 2
+
 // recordPaceResponse counts a response for the sidecar that paces the endpoint. Its first event, or all of a response that
-// is no stream, is timely within the route's objective after the request was sent. The fleet must be locked.
+// is no stream, is late after the route's objective if it also took much longer than expected. The fleet must be locked.
 func (x *exchange) recordPaceResponse(e *endpoint, isFailure bool) {
+	took := x.f.config.Now().Sub(x.sentAt)
 	switch objective := x.route.Objective; {
 	case isFailure:
 		e.pace.responses.Rejected++
-	case objective > 0 && x.f.config.Now().Sub(x.sentAt) > objective:
+	case objective > 0 && took > objective && took > lateFactor*x.chosen.expected:
 		e.pace.responses.Late++
 	default:
 		e.pace.responses.Timely++
--- a/pkg/pacer/limiter.go
+++ b/pkg/pacer/limiter.go
@@ -40,6 +40,9 @@
 	// MaxTime bounds the time of the limit, so that an endpoint without requests, or a fleet in which every response is
 	// late, is not limited for ever.
 	MaxTime time.Duration
+	// SlackTime is how long less than half of the limit must be in use, with timely responses only, until the limit is no
+	// longer needed: the endpoint then gets all that its demand asks for.
+	SlackTime time.Duration
 	// SettleTime is how long the limit must stay at the capacity. Entries go on preferring an endpoint that was empty until
 	// they have seen its load.
 	SettleTime time.Duration
@@ -47,10 +50,11 @@
 
 // Defaults of AdaptiveConfig.
 const (
-	DefaultInitial  = 4
-	DefaultMin      = 2
-	DefaultLateCost = 3
-	DefaultMaxTime  = 30 * time.Second
+	DefaultInitial   = 4
+	DefaultMin       = 2
+	DefaultLateCost  = 3
+	DefaultMaxTime   = 30 * time.Second
+	DefaultSlackTime = 3 * time.Second
 	// DefaultSettleTime is above the longest interval of a sidecar's messages.
 	DefaultSettleTime = time.Second
 )
@@ -64,6 +68,9 @@
 	// isFull means that the limit has been at the capacity since fullAt.
 	isFull bool
 	fullAt time.Duration
+	// hasSlack means that less than half of the limit has been in use, with timely responses only, since slackAt.
+	hasSlack bool
+	slackAt  time.Duration
 }
 
 // NewAdaptive returns the limiter of an endpoint that started at a time. inProgress requests are at it already.
@@ -73,6 +80,7 @@
 	c.LateCost = cmp.Or(c.LateCost, DefaultLateCost)
 	c.MaxTime = cmp.Or(c.MaxTime, DefaultMaxTime)
 	c.SettleTime = cmp.Or(c.SettleTime, DefaultSettleTime)
+	c.SlackTime = cmp.Or(c.SlackTime, DefaultSlackTime)
 	a := Adaptive{config: c, capacity: max(c.Min, float64(capacity)), startedAt: now}
 	return a.withLimit(max(c.Initial, float64(inProgress)), now)
 }
@@ -93,15 +101,22 @@
 func (a Adaptive) WithResponses(r Responses, inProgress int, now time.Duration) Limiter {
 	limit := a.limit
 	// The requests that have just been answered were in progress too.
-	if 2*float64(inProgress+r.Timely) >= a.limit {
+	isUsed := 2*float64(inProgress+r.Timely) >= a.limit
+	if isUsed {
 		limit += float64(r.Timely)
 	}
+	switch hasFailed := r.Late+r.Rejected > 0; {
+	case isUsed && r.Timely > 0 || hasFailed:
+		a.hasSlack = false
+	case r.Timely > 0 && !a.hasSlack:
+		a.hasSlack, a.slackAt = true, now
+	}
 	return a.withLimit(limit-a.config.LateCost*float64(r.Late+r.Rejected), now)
 }
 
 // IsDone implements Limiter.
 func (a Adaptive) IsDone(now time.Duration) bool {
-	return a.isFull && now-a.fullAt >= a.config.SettleTime || now-a.startedAt >= a.config.MaxTime
+	return a.isFull && now-a.fullAt >= a.config.SettleTime || a.hasSlack && now-a.slackAt >= a.config.SlackTime || now-a.startedAt >= a.config.MaxTime
 }
 
 // FixedRamp raises the limit linearly to the capacity, whatever the responses say. It is the baseline of Adaptive.
