Reject streams at once that can't get their first event in time

Under contention a request waited in an engine's queue until its deadline, or until its caller had left, because nothing compared the expected time to the first event with the time in which that event is of use; its caller learned that only then. pkg/arbiter now rejects a stream with a Retry-After when even the lowest decile of the measured error of the estimate puts the first event after the deadline or the caller's patience; one in sixteen of those is sent nevertheless, so that the error stays measured, and while the error of similar waits is unknown an excess of four times is required. The rule transfer-budget uses the same end of the useful time.

--- a/internal/experimenter/command.go
+++ b/internal/experimenter/command.go
@@ -43,6 +43,7 @@
 		{"limits", "excess and wrongful refusals of the ways to hold a fleet-wide limit", LimitsReport},
 		{"placement", "load stalls and p99 to the first token of the ways to choose an endpoint", PlacementReport},
 		{"estimate", "late requests and the error of the ways to estimate the time to the first event, with slow engines", EstimateReport},
+		{"admission", "timely, late and lost requests by admission policy, with an organisation at 7.5 times its rate", AdmissionReport},
 		{"fairness", "what organisations notice of a neighbour that sends five times its rate", FairnessReport},
 	}
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -120,9 +120,13 @@
 	}
 }
 
-// awaitPlacement waits until the adapter is resident at the chosen endpoint. If it returns neither that nor a refusal, an
+// awaitPlacement decides whether the request is served in time, and waits until the adapter is resident at the chosen
+// endpoint. If it returns neither that nor a refusal, an
 // endpoint has to be selected again.
 func (x *exchange) awaitPlacement(ctx context.Context, e *endpoint, version int64) (isResident, isUnavailable bool, _ *Refusal) {
+	if refusal := x.refuseEarly(); refusal != nil {
+		return false, false, refusal
+	}
 	switch x.chosen.residency {
 	case selector.Resident:
 		return true, false, nil
@@ -549,6 +553,7 @@
 		if r.x.firstEventAfter == 0 {
 			r.x.firstEventAfter = r.x.f.config.Now().Sub(r.x.arrivedAt)
 			r.x.recordEstimate(r.e)
+			r.x.recordForecast(true)
 		}
 	}
 	if id, ok := lastEventID(events); ok {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"geraniumladder/internal/connector"
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/arbiter"
 	"geraniumladder/pkg/retrier"
 	"geraniumladder/pkg/selector"
 	"geraniumladder/pkg/shedder"
@@ -65,6 +66,8 @@
 	Delay(d time.Duration)
 	// Estimate records the ratio of actual to expected time to the first event.
 	Estimate(cause string, ratio float64)
+	// Admission counts a decision of Config.Admission other than plain admission; kind is an arbiter.Kind.
+	Admission(organisation, kind string)
 }
 
 // Config configures a Forwarder.
@@ -90,6 +93,8 @@
 	Selector selector.Config
 	// Shedding decides which requests are rejected while the process is behind; the default is shedder.Standing.
 	Shedding shedder.Policy
+	// Admission decides which requests are rejected because they can't be served in time; the default is arbiter.Limited.
+	Admission arbiter.Policy
 	// AnswerMemory is the number of bytes of answers that may be held at a time, beside a small number for each request; the
 	// default is 32 MiB. SetAnswerMemory changes it.
 	AnswerMemory int64
@@ -108,6 +113,7 @@
 	quarantine    *quarantine
 	throttle      *throttle
 	reports       *reports
+	admission     admission
 	answers       answerMemory
 	start         time.Time
 	retry         atomic.Pointer[retrier.Config]
@@ -139,12 +145,16 @@
 	if c.Shedding == nil {
 		c.Shedding = shedder.Standing{}
 	}
+	if c.Admission == nil {
+		c.Admission = arbiter.Limited{}
+	}
 	elapsed := clock{now: c.Now, start: c.Now()}
 	r := newReports(elapsed, c.Observer, c.Log)
 	f := &Forwarder{
 		config: c, fleet: newFleet(c.Domain, c.Now, c.Selector, r), start: elapsed.start, retryBudgets: map[string]*retryBudget{},
 		quarantine: newQuarantine(elapsed, c.Log), throttle: newThrottle(c.VM, elapsed, c.Log), reports: r,
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
+		admission: admission{accuracies: map[string]arbiter.Accuracy{}},
 	}
 	f.ended, f.end = context.WithCancel(context.Background())
 	f.SetRetry(c.Retry)
@@ -268,6 +278,8 @@
 	// actual to expected time to the first event of the response; 0 before it.
 	sent          sentState
 	estimateRatio float64
+	// forecast is the expected time on which the early rejection is judged.
+	forecast forecast
 	// admittedTokens is the number of tokens taken from the organisation's limit.
 	admittedTokens float64
 	// transfer is the request's place among those that wait for an adapter load to start.
@@ -280,8 +292,10 @@
 
 // placement holds the inputs of the last selection of an endpoint.
 type placement struct {
-	endpoint  string
-	expected  time.Duration
+	endpoint string
+	expected time.Duration
+	// fastest is the lowest expected time of all candidates.
+	fastest   time.Duration
 	residency selector.Residency
 	// stateAge is the age of the sidecar's last report; -1 ms without a report.
 	stateAge       time.Duration
@@ -399,6 +413,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.f.ended, cancel)()
+	defer func() { x.recordForecast(false) }()
 	for {
 		switch refusal, done := x.attemptOnce(ctx); {
 		case done:
@@ -531,7 +546,7 @@
 	}
 	e, c := endpoints[choice.Index], candidates[choice.Index]
 	p := placement{
-		endpoint: e.ID, expected: choice.Expected, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
+		endpoint: e.ID, expected: choice.Expected, fastest: choice.Fastest, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
 		at: f.config.Now(), isWarm: c.IsWarm, speed: c.Speed,
 	}
 	if !e.stateAt.IsZero() {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -83,6 +83,7 @@
 func (observer) FirstToken(string, time.Duration) {}
 func (observer) Delay(time.Duration)              {}
 func (observer) Estimate(string, float64)         {}
+func (observer) Admission(string, string)         {}
 
 // endpoint is an HTTP endpoint whose responses a test writes to the raw connection.
 type endpoint struct {
--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -189,7 +189,7 @@
 
 // awaitTransfer asks the transfer budget for the load of the adapter at the endpoint. It returns true if the load may
 // start, and false after a wait, when the endpoint has to be selected again. A request that no load can serve before its
-// deadline is refused.
+// deadline, or before its caller leaves, is refused.
 func (x *exchange) awaitTransfer(ctx context.Context, e *endpoint) (isStarted bool, _ *Refusal) {
 	f, t := x.f.fleet, x.f.fleet.transfers
 	f.mu.Lock()
@@ -203,7 +203,6 @@
 	if x.transfer.id == 0 {
 		x.transfer.id, x.transfer.since = t.newID(), t.elapsed()
 	}
-	remaining := x.deadline.Sub(x.f.config.Now())
 	processing := time.Duration(x.call.PromptTokens / x.f.config.Selector.PrefillTokensPerMs * float64(time.Millisecond))
 	objective := x.deadline
 	if x.route.Objective > 0 {
@@ -217,7 +216,7 @@
 	if isStarted {
 		return true, nil
 	}
-	if stats := x.f.Transfers(); remaining < stats.BaseTime {
+	if x.usefulUntil().Sub(x.f.config.Now()) < x.f.Transfers().BaseTime {
 		return false, refuseUnavailable("transfer-budget", transferRetryAfter)
 	}
 	timer := time.NewTimer(rechooseInterval)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -41,6 +41,7 @@
 	refusals      metric.Int64Counter
 	retries       metric.Int64Counter
 	reports       metric.Int64Counter
+	admissions    metric.Int64Counter
 	tokens        metric.Int64Counter
 	loads         metric.Int64Counter
 	stalls        metric.Int64Counter
@@ -96,6 +97,7 @@
 	m.refusals = counter("geraniumladder.refusals", "{request}", "Requests refused before they ran, by reason.")
 	m.retries = counter("geraniumladder.retries", "{request}", "Second and later dispatches.")
 	m.reports = counter("geraniumladder.endpoint.reports", "{report}", "Reports of endpoints in responses, by kind.")
+	m.admissions = counter("geraniumladder.admissions", "{decision}", "Early rejections and admissions despite them, by kind.")
 	m.tokens = counter("geraniumladder.tokens", "{token}", "Tokens, by kind prompt or answer.")
 	m.loads = counter("geraniumladder.adapter.loads", "{load}", "Adapter loads, by result.")
 	m.stalls = counter("geraniumladder.load.stalls", "{request}", "Requests that waited for an adapter load.")
@@ -199,6 +201,11 @@
 	m.estimate.Record(context.Background(), ratio, metric.WithAttributes(attribute.String("Cause", cause)))
 }
 
+// Admission counts a decision on a request other than plain admission.
+func (m *Meter) Admission(organisation, kind string) {
+	m.admissions.Add(context.Background(), 1, organisationAttributes(organisation, "Kind", kind))
+}
+
 // FirstToken records the time from a request's arrival to its first token.
 func (m *Meter) FirstToken(organisation string, took time.Duration) {
 	m.firstToken.Record(context.Background(), took.Seconds(), m.optionsFor(organisation).record...)
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -3,6 +3,7 @@
 package selector
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -193,6 +194,8 @@
 	Index int
 	// Expected is the expected time to the first event of the response, without the penalties.
 	Expected time.Duration
+	// Fastest is the lowest expected time of all candidates.
+	Fastest time.Duration
 	// Cost is the value by which the candidates were compared.
 	Cost time.Duration
 }
@@ -205,9 +208,11 @@
 // better than the lowest cost. It applies only where no adapter is loaded, because loads are worth concentrating.
 func Choose(c Config, r Request, candidates []Candidate, rng *rand.Rand) (Choice, bool) {
 	costs := make([]time.Duration, len(candidates))
-	best := -1
+	best, fastest := -1, time.Duration(math.MaxInt64)
 	for i := range candidates {
-		_, costs[i] = Cost(&c, &r, &candidates[i])
+		var expected time.Duration
+		expected, costs[i] = Cost(&c, &r, &candidates[i])
+		fastest = min(fastest, expected)
 		if best < 0 || costs[i] < costs[best] {
 			best = i
 		}
@@ -229,7 +234,7 @@
 		}
 	}
 	expected, _ := Cost(&c, &r, &candidates[chosen])
-	return Choice{Index: chosen, Expected: expected, Cost: lowest}, true
+	return Choice{Index: chosen, Expected: expected, Fastest: fastest, Cost: lowest}, true
 }
 
 // Cost returns the expected time to the first event of the response and the cost by which candidates are compared. The
