Reject late requests first while capacity is short, by shares

When the queues were longer than the objective, each request that was admitted although it would be late made a timely one late, and one organisation that sent several times its usual rate made all others late. While at least 3 in 10 of a service's recent requests are expected to be late because of others, entries now reject new requests that will be late and would wait behind others, with a Retry-After after which the queue has become short enough; an organisation that asks for more than 1.5 times its weighted max-min fair share is rejected before the queue has used up the others' objective. Shares are judged by the tokens of the requests that reach the entry; no message is added.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -11,8 +11,8 @@
 // admission is what this entry knows for decisions on early rejections. It is safe for concurrent use.
 type admission struct {
 	mu sync.Mutex
-	// accuracies hold the error of the expected times by service.
-	accuracies map[string]arbiter.Accuracy
+	// states holds what is known of the requests by service.
+	states map[string]arbiter.State
 }
 
 // forecast is the expected time to the first event when an endpoint was first selected for a request.
@@ -46,25 +46,30 @@
 		return nil
 	}
 	now, a := x.f.elapsed(), &x.f.admission
-	if x.forecast.at.IsZero() {
+	r := x.arbiterRequest()
+	if r.IsNew {
 		x.forecast.at, x.forecast.expected = x.chosen.at, x.chosen.expected
 	}
-	r := arbiter.Request{
-		Expected: x.chosen.fastest, Remaining: x.usefulUntil().Sub(x.f.config.Now()), Objective: x.route.Objective,
-	}
 	a.mu.Lock()
-	accuracy := a.accuracies[x.service]
-	a.mu.Unlock()
+	state := a.states[x.service]
 	x.f.mu.Lock()
-	d := x.f.config.Admission.Decide(now, r, &accuracy, x.f.rng)
+	d := x.f.config.Admission.Decide(now, r, &state, x.f.rng)
 	x.f.mu.Unlock()
+	next := state.WithDecision(now, r, d)
+	a.states[x.service] = next
+	a.mu.Unlock()
+	if state.Load.IsShort() != next.Load.IsShort() {
+		x.f.config.Log.Info().Str("Service", x.service).Bool("IsShort", next.Load.IsShort()).Float64("LatePart", next.Load.LatePart()).
+			Msg("forwarder: capacity became short or sufficient")
+	}
 	if d.Kind == arbiter.Admitted {
 		return nil
 	}
 	x.forecast.isTrial = d.Kind == arbiter.Trial
 	x.f.config.Observer.Admission(x.organisationName(), string(d.Kind))
 	x.f.config.Log.Info().Str("Request", x.call.ID).Str("Decision", string(d.Kind)).Str("Organisation", x.organisationName()).
-		Dur("Expected", r.Expected).Dur("Lowest", accuracy.Lowest(now, r.Expected)).Dur("Remaining", r.Remaining).
+		Dur("Expected", r.Expected).Dur("Lowest", state.Accuracy.Lowest(now, r.Expected)).Dur("Remaining", r.Remaining).
+		Dur("Typical", state.Accuracy.Typical(now, r.Expected)).Dur("Timely", r.Timely).Dur("Idle", r.Idle).Float64("LatePart", next.Load.LatePart()).
 		Dur("RetryAfter", d.RetryAfter).Msg("forwarder: admission decided")
 	if !d.IsRejected() {
 		return nil
@@ -73,6 +78,20 @@
 	return refuseUnavailable(string(d.Kind), d.RetryAfter)
 }
 
+// arbiterRequest returns what the decision on the request depends on.
+func (x *exchange) arbiterRequest() arbiter.Request {
+	now := x.f.config.Now()
+	r := arbiter.Request{
+		Expected: x.chosen.fastest, Remaining: x.usefulUntil().Sub(now), Objective: x.route.Objective,
+		Timely: x.arrivedAt.Add(x.route.Objective).Sub(now), Idle: x.chosen.idle, Queued: x.chosen.expected - x.chosen.idle,
+		IsNew: x.forecast.at.IsZero(), Organisation: x.organisationName(), Tokens: x.chosen.ownTokens + x.call.AnswerTokens,
+	}
+	if x.organisation != nil && x.organisation.CountsTokens {
+		r.Weight = x.organisation.Rate
+	}
+	return r
+}
+
 // recordForecast records the error of the expected time when the request gets its first event or ends without one.
 func (x *exchange) recordForecast(hasFirstEvent bool) {
 	if x.forecast.at.IsZero() {
@@ -83,10 +102,11 @@
 	x.forecast = forecast{isTrial: x.forecast.isTrial}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	accuracy := a.accuracies[x.service]
+	state := a.states[x.service]
 	if hasFirstEvent {
-		a.accuracies[x.service] = accuracy.WithFirstEvent(now, expected, took)
+		state.Accuracy = state.Accuracy.WithFirstEvent(now, expected, took)
 	} else {
-		a.accuracies[x.service] = accuracy.WithoutFirstEvent(now, expected, took)
+		state.Accuracy = state.Accuracy.WithoutFirstEvent(now, expected, took)
 	}
+	a.states[x.service] = state
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -93,7 +93,7 @@
 	Selector selector.Config
 	// Shedding decides which requests are rejected while the process is behind; the default is shedder.Standing.
 	Shedding shedder.Policy
-	// Admission decides which requests are rejected because they can't be served in time; the default is arbiter.Limited.
+	// Admission decides which requests are rejected because they can't be served in time; the default is arbiter.Fair.
 	Admission arbiter.Policy
 	// AnswerMemory is the number of bytes of answers that may be held at a time, beside a small number for each request; the
 	// default is 32 MiB. SetAnswerMemory changes it.
@@ -146,7 +146,7 @@
 		c.Shedding = shedder.Standing{}
 	}
 	if c.Admission == nil {
-		c.Admission = arbiter.Limited{}
+		c.Admission = arbiter.Fair{}
 	}
 	elapsed := clock{now: c.Now, start: c.Now()}
 	r := newReports(elapsed, c.Observer, c.Log)
@@ -154,7 +154,7 @@
 		config: c, fleet: newFleet(c.Domain, c.Now, c.Selector, r), start: elapsed.start, retryBudgets: map[string]*retryBudget{},
 		quarantine: newQuarantine(elapsed, c.Log), throttle: newThrottle(c.VM, elapsed, c.Log), reports: r,
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
-		admission: admission{accuracies: map[string]arbiter.Accuracy{}},
+		admission: admission{states: map[string]arbiter.State{}},
 	}
 	f.ended, f.end = context.WithCancel(context.Background())
 	f.SetRetry(c.Retry)
@@ -294,6 +294,10 @@
 type placement struct {
 	endpoint string
 	expected time.Duration
+	// idle is the time that would be expected of the endpoint without other requests, and ownTokens the part of the prompt
+	// to be read there.
+	idle      time.Duration
+	ownTokens float64
 	// fastest is the lowest expected time of all candidates.
 	fastest   time.Duration
 	residency selector.Residency
@@ -536,7 +540,8 @@
 	defer f.fleet.mu.Unlock()
 	candidates, endpoints := f.fleet.candidates(sel)
 	f.mu.Lock()
-	choice, ok := selector.Choose(f.fleet.estimate(sel.service).Config(), sel.request, candidates, f.rng)
+	config := f.fleet.estimate(sel.service).Config()
+	choice, ok := selector.Choose(config, sel.request, candidates, f.rng)
 	f.mu.Unlock()
 	if !ok {
 		return nil, placement{}, false
@@ -549,6 +554,8 @@
 		endpoint: e.ID, expected: choice.Expected, fastest: choice.Fastest, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
 		at: f.config.Now(), isWarm: c.IsWarm, speed: c.Speed,
 	}
+	c.Busy, c.UnreadTokens, c.FreeTokens, p.ownTokens = 0, 0, sel.request.RequiredTokens, max(0, sel.request.PromptTokens-c.CachedPrefixTokens)
+	p.idle, _ = selector.Cost(&config, &sel.request, &c)
 	if !e.stateAt.IsZero() {
 		p.stateAge = f.config.Now().Sub(e.stateAt)
 	}
--- a/pkg/arbiter/accuracy.go
+++ b/pkg/arbiter/accuracy.go
@@ -22,6 +22,8 @@
 	// unknownRatio is the ratio assumed while the error is unknown. A tenth of the requests was below 0.17 with a fixed speed
 	// of the engines, and below 0.6 to 0.7 with learned ones.
 	unknownRatio = 0.25
+	// unknownTypical is the median ratio assumed while the error is unknown.
+	unknownTypical = 0.7
 	// maxRatio bounds the ratio, so that a rejection always needs a clear excess.
 	maxRatio = 0.8
 )
@@ -64,16 +66,27 @@
 
 // Lowest returns the time to the first event that is exceeded with a probability of about nine tenths.
 func (a *Accuracy) Lowest(now, expected time.Duration) time.Duration {
+	return a.quantile(now, expected, lowQuantile, unknownRatio, maxRatio)
+}
+
+// Typical returns the median time to the first event, at most the expected time.
+func (a *Accuracy) Typical(now, expected time.Duration) time.Duration {
+	return a.quantile(now, expected, 0.5, unknownTypical, 1)
+}
+
+// quantile returns a quantile of the time to the first event by the errors of similar requests. The ratio of actual to
+// expected time is at most the highest one, and unknown if it hasn't been measured.
+func (a *Accuracy) quantile(now, expected time.Duration, q, unknown, highest float64) time.Duration {
 	ratios := make([]float64, 0, maxSamples)
 	for _, s := range a.samples {
 		if now-s.at <= sampleMaxAge && float64(s.expected) >= similarShare*float64(expected) {
 			ratios = append(ratios, s.ratio)
 		}
 	}
-	ratio := unknownRatio
+	ratio := unknown
 	if len(ratios) >= minSamples {
 		slices.Sort(ratios)
-		ratio = min(maxRatio, ratios[int(lowQuantile*float64(len(ratios)))])
+		ratio = min(highest, ratios[int(q*float64(len(ratios)))])
 	}
 	return time.Duration(ratio * float64(expected))
 }
--- a/pkg/arbiter/arbiter_test.go
+++ b/pkg/arbiter/arbiter_test.go
@@ -15,7 +15,7 @@
 	rng, n := rand.New(rand.NewPCG(1, 1)), 0
 	for range 100 {
 		r := arbiter.Request{Expected: time.Duration(multiple * float64(time.Second)), Remaining: time.Second}
-		if (arbiter.Limited{}).Decide(time.Minute, r, &a, rng).IsRejected() {
+		if (arbiter.Limited{}).Decide(time.Minute, r, &arbiter.State{Accuracy: a}, rng).IsRejected() {
 			n++
 		}
 	}
@@ -64,3 +64,95 @@
 	}
 	assert.Assert(t, rejections(a, 1.3) > 0)
 }
+
+// shortage returns a Load at the end of 10 s with the parts of late requests, 6 of them a second.
+func shortage(parts ...float64) (l arbiter.Load, now time.Duration) {
+	for _, part := range parts {
+		for i := range 60 {
+			now += time.Second / 6
+			l = l.WithRequest(now, int(float64(i+1)*part) > int(float64(i)*part))
+		}
+	}
+	return l, now
+}
+
+// TestShortageHasHysteresis guards against rejections because of a few late requests, and against decisions that change
+// with each request.
+func TestShortageHasHysteresis(t *testing.T) {
+	for _, c := range []struct {
+		parts   []float64
+		isShort bool
+	}{{[]float64{0.2}, false}, {[]float64{0.5}, true}, {[]float64{0.5, 0.2}, true}, {[]float64{0.5, 0.2, 0}, false}} {
+		l, _ := shortage(c.parts...)
+		assert.Equal(t, l.IsShort(), c.isShort, "%v", c.parts)
+	}
+	var few arbiter.Load
+	for range 4 {
+		few = few.WithRequest(0, true)
+	}
+	assert.Assert(t, !few.IsShort())
+}
+
+// TestFairShares guards against a wrong distribution of capacity: what organisations leave of their shares belongs to the
+// others, shares are in proportion to the weights, and nobody is over its share while everything is admitted.
+func TestFairShares(t *testing.T) {
+	for _, c := range []struct {
+		weights, offered, admitted [3]float64
+		isOver                     [3]bool
+	}{
+		{[3]float64{1, 1, 1}, [3]float64{10, 10, 70}, [3]float64{10, 10, 40}, [3]bool{false, false, true}},
+		{[3]float64{1, 1, 1}, [3]float64{10, 10, 100}, [3]float64{10, 10, 100}, [3]bool{}},
+		{[3]float64{1, 1, 1}, [3]float64{10, 10, 100}, [3]float64{10, 10, 75}, [3]bool{}},
+		{[3]float64{1, 4, 0}, [3]float64{100, 100, 100}, [3]float64{0, 40, 90}, [3]bool{true, false, true}},
+	} {
+		var u arbiter.Usage
+		for i, name := range []string{"a", "b", "c"} {
+			u = u.WithRequest(0, name, c.weights[i], c.admitted[i], true)
+			u = u.WithRequest(0, name, c.weights[i], c.offered[i]-c.admitted[i], false)
+		}
+		for i, name := range []string{"a", "b", "c"} {
+			assert.Equal(t, u.IsOverShare(time.Second, name), c.isOver[i], "%s of %+v", name, c)
+		}
+	}
+}
+
+// TestLateRequests guards against rejections of late requests that displace nobody or have waited already, and against
+// organisations within their share that are rejected as early as the one beyond it.
+func TestLateRequests(t *testing.T) {
+	short, now := shortage(0.5)
+	var usage arbiter.Usage
+	for name, tokens := range map[string]float64{"small": 10, "large": 100} {
+		usage = usage.WithRequest(now, name, 0, tokens/2, true).WithRequest(now, name, 0, tokens/2, false)
+	}
+	exact := arbiter.Accuracy{}
+	for range 30 {
+		exact = exact.WithFirstEvent(now, 2*time.Second, 2*time.Second)
+	}
+	request := func(expected time.Duration, organisation string) arbiter.Request {
+		return arbiter.Request{
+			Expected: expected, Remaining: 4 * time.Second, Objective: time.Second, Timely: time.Second, Idle: 200 * time.Millisecond,
+			Queued: expected - 200*time.Millisecond, IsNew: true, Organisation: organisation,
+		}
+	}
+	late, waited, alone := request(1500*time.Millisecond, "small"), request(1500*time.Millisecond, "small"), request(1500*time.Millisecond, "small")
+	waited.IsNew, alone.Queued = false, 0
+	for _, c := range []struct {
+		name    string
+		load    arbiter.Load
+		request arbiter.Request
+		kind    arbiter.Kind
+	}{
+		{"late", short, late, arbiter.Late},
+		{"late without shortage", arbiter.Load{}, late, arbiter.Admitted},
+		{"late, has waited", short, waited, arbiter.Admitted},
+		{"late at an idle engine", short, alone, arbiter.Admitted},
+		{"timely", short, request(900*time.Millisecond, "small"), arbiter.Admitted},
+		{"timely, beyond its share", short, request(900*time.Millisecond, "large"), arbiter.OverShare},
+		{"early, beyond its share", short, request(400*time.Millisecond, "large"), arbiter.Admitted},
+	} {
+		// The first random number of this seed doesn't lead to a trial.
+		d := arbiter.Fair{}.Decide(now, c.request, &arbiter.State{Accuracy: exact, Load: c.load, Usage: usage}, rand.New(rand.NewPCG(1, 1)))
+		assert.Equal(t, d.Kind, c.kind, c.name)
+		assert.Equal(t, d.RetryAfter > 0, d.IsRejected(), c.name)
+	}
+}
