--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"geraniumladder/internal/connector"
 	"geraniumladder/internal/registrar"
 	"geraniumladder/internal/wire"
+	"geraniumladder/pkg/arbiter"
 	"geraniumladder/pkg/retrier"
 	"geraniumladder/pkg/selector"
 	"geraniumladder/pkg/shedder"
@@ -68,6 +69,8 @@
 	Delay(d time.Duration)
 	// Estimate records the ratio of actual to expected time to the first event.
 	Estimate(cause string, ratio float64)
+	// Admission counts a decision of Config.Admission other than plain admission; kind is an arbiter.Kind.
+	Admission(organisation, kind string)
 }
 
 // Config configures a Forwarder.
@@ -93,6 +96,8 @@
 	Selector selector.Config
 	// Shedding decides which requests are rejected while the process is behind; the default is shedder.Standing.
 	Shedding shedder.Policy
+	// Admission decides which requests are rejected because they can't be served in time; the default is arbiter.Fair.
+	Admission arbiter.Policy
 	// AnswerMemory is the number of bytes of answers that may be held at a time, beside a small number for each request; the
 	// default is 32 MiB. SetAnswerMemory changes it.
 	AnswerMemory int64
@@ -111,6 +116,7 @@
 	quarantine    *quarantine
 	throttle      *throttle
 	reports       *reports
+	admission     admission
 	answers       answerMemory
 	start         time.Time
 	retry         atomic.Pointer[retrier.Config]
@@ -144,12 +150,16 @@
 	if c.Shedding == nil {
 		c.Shedding = shedder.Standing{}
 	}
+	if c.Admission == nil {
+		c.Admission = arbiter.Fair{}
+	}
 	elapsed := clock{now: c.Now, start: c.Now()}
 	r := newReports(elapsed, c.Observer, c.Log)
 	f := &Forwarder{
 		config: c, fleet: newFleet(&c, r), start: elapsed.start, retryBudgets: map[string]*retryBudget{},
 		quarantine: newQuarantine(elapsed, c.Log), throttle: newThrottle(c.VM, elapsed, c.Log), reports: r,
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
+		admission: admission{states: map[string]arbiter.State{}},
 	}
 	f.ended, f.end = context.WithCancel(context.Background())
 	f.SetRetry(c.Retry)
@@ -276,6 +286,8 @@
 	// actual to expected time to the first event of the response; 0 before it.
 	sent          sentState
 	estimateRatio float64
+	// forecast is the expected time on which the early rejection is judged.
+	forecast forecast
 	// admittedTokens is the number of tokens taken from the organisation's limit.
 	admittedTokens float64
 	// transfer is the request's place among those that wait for an adapter load to start.
@@ -288,8 +300,14 @@
 
 // placement holds the inputs of the last selection of an endpoint.
 type placement struct {
-	endpoint  string
-	expected  time.Duration
+	endpoint string
+	expected time.Duration
+	// idle is the time that would be expected of the endpoint without other requests, and ownTokens the part of the prompt
+	// to be read there.
+	idle      time.Duration
+	ownTokens float64
+	// fastest is the lowest expected time of all candidates.
+	fastest   time.Duration
 	residency selector.Residency
 	// stateAge is the age of the sidecar's last report; -1 ms without a report.
 	stateAge       time.Duration
@@ -407,6 +425,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.f.ended, cancel)()
+	defer func() { x.recordForecast(false) }()
 	for {
 		switch refusal, done := x.attemptOnce(ctx); {
 		case done:
@@ -548,7 +567,8 @@
 	defer f.fleet.mu.Unlock()
 	candidates, endpoints := f.fleet.candidates(sel)
 	f.mu.Lock()
-	choice, ok := selector.Choose(f.fleet.estimate(sel.service).Config(), sel.request, candidates, f.rng)
+	config := f.fleet.estimate(sel.service).Config()
+	choice, ok := selector.Choose(config, sel.request, candidates, f.rng)
 	f.mu.Unlock()
 	if !ok {
 		return nil, placement{}, false
@@ -558,9 +578,11 @@
 	}
 	e, c := endpoints[choice.Index], candidates[choice.Index]
 	p := placement{
-		endpoint: e.ID, expected: choice.Expected, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
+		endpoint: e.ID, expected: choice.Expected, fastest: choice.Fastest, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
 		at: f.config.Now(), isWarm: c.IsWarm, speed: c.Speed,
 	}
+	c.Busy, c.UnreadTokens, c.FreeTokens, p.ownTokens = 0, 0, sel.request.RequiredTokens, max(0, sel.request.PromptTokens-c.CachedPrefixTokens)
+	p.idle, _ = selector.Cost(&config, &sel.request, &c)
 	if !e.stateAt.IsZero() {
 		p.stateAge = f.config.Now().Sub(e.stateAt)
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -43,6 +43,7 @@
 	reports       metric.Int64Counter
 	states        metric.Int64Counter
 	stateBytes    metric.Int64Counter
+	admissions    metric.Int64Counter
 	tokens        metric.Int64Counter
 	loads         metric.Int64Counter
 	stalls        metric.Int64Counter
@@ -100,6 +101,7 @@
 	m.reports = counter("geraniumladder.endpoint.reports", "{report}", "Reports of endpoints in responses, by kind.")
 	m.states = counter("geraniumladder.states", "{datagram}", "Datagrams with engine states sent, by path.")
 	m.stateBytes = counter("geraniumladder.states.size", "By", "Bytes of datagrams with engine states sent, by path.")
+	m.admissions = counter("geraniumladder.admissions", "{decision}", "Early rejections and admissions despite them, by kind.")
 	m.tokens = counter("geraniumladder.tokens", "{token}", "Tokens, by kind prompt or answer.")
 	m.loads = counter("geraniumladder.adapter.loads", "{load}", "Adapter loads, by result.")
 	m.stalls = counter("geraniumladder.load.stalls", "{request}", "Requests that waited for an adapter load.")
@@ -210,6 +212,11 @@
 	m.estimate.Record(context.Background(), ratio, metric.WithAttributes(attribute.String("Cause", cause)))
 }
 
+// Admission counts a decision on a request other than plain admission.
+func (m *Meter) Admission(organisation, kind string) {
+	m.admissions.Add(context.Background(), 1, organisationAttributes(organisation, "Kind", kind))
+}
+
 // FirstToken records the time from a request's arrival to its first token.
 func (m *Meter) FirstToken(organisation string, took time.Duration) {
 	m.firstToken.Record(context.Background(), took.Seconds(), m.optionsFor(organisation).record...)
