Replay admission also with requests that only one engine can serve

A load of 0.95 of the capacity with each request at one random engine is added, and the test requires that the product's policy costs no value on it.

--- a/internal/experimenter/admission.go
+++ b/internal/experimenter/admission.go
@@ -40,6 +40,8 @@
 	Rate, Surge float64
 	Surging     int
 	SurgeFor    time.Duration
+	// Holders is the number of engines that may serve a request.
+	Holders int
 }
 
 const admissionSurgeFrom = 10 * time.Second
@@ -48,10 +50,11 @@
 // rejection has less to gain.
 func AdmissionLoads() []AdmissionLoad {
 	return []AdmissionLoad{
-		{"one organisation at 7.5 times its rate for 10 s", 12, 7.5, 1, 10 * time.Second},
-		{"one organisation at 7.5 times its rate for 3 s", 12, 7.5, 1, 3 * time.Second},
-		{"all organisations at 1.2 times the capacity for 10 s", 12, 1.4, admissionOrganisations, 10 * time.Second},
-		{"nine tenths of the capacity", 12.8, 1, 0, 0},
+		{"one organisation at 7.5 times its rate for 10 s", 12, 7.5, 1, 10 * time.Second, admissionEngines},
+		{"one organisation at 7.5 times its rate for 3 s", 12, 7.5, 1, 3 * time.Second, admissionEngines},
+		{"all organisations at 1.2 times the capacity for 10 s", 12, 1.4, admissionOrganisations, 10 * time.Second, admissionEngines},
+		{"0.95 of the capacity, each request at one random engine", 13.5, 1, 0, 0, 1},
+		{"nine tenths of the capacity", 12.8, 1, 0, 0, admissionEngines},
 	}
 }
 
@@ -162,10 +165,14 @@
 // submit decides on an attempt and queues it at the engine with the least work.
 func (s *admissionReplay) submit(now time.Duration, q *admissionRequest) {
 	q.at, q.tries, q.entry = now, q.tries+1, s.rng.IntN(admissionEntries)
-	best, least := 0, math.Inf(1)
-	for i, queue := range s.queues {
+	best, least, first := 0, math.Inf(1), 0
+	if s.load.Holders < admissionEngines {
+		first = s.rng.IntN(admissionEngines)
+	}
+	for offset := range s.load.Holders {
+		i := (first + offset) % admissionEngines
 		work := 0.0
-		for _, w := range queue {
+		for _, w := range s.queues[i] {
 			work += w.left
 		}
 		if work < least {
