A longer interval between states is announced through two entries

An engine that falls idle sends its next state after 0.9 s in place of 0.5 s. An entry that missed the state which says so, because the entry that should have forwarded it is dead, took the engine for overdue for up to 0.2 s and preferred others. That state now goes through two entries of each domain, as changes of adapters do. TestStatesGoThroughEntriesThatForward covers it and fails without the rule; the package's tests pass with -race.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -589,9 +589,11 @@
 	// The number of messages from all sidecars grows with the number of entries, so the interval grows with it.
 	minInterval := max(minSendInterval, time.Duration(len(recipients))*sendIntervalPerEntry)
 	o.recipientCount = len(recipients)
+	// An entry that misses the announcement of a longer interval would take the engine for overdue.
+	isSlower := nextSendWithin(&s, len(recipients)) > nextSendWithin(&o.sentState, len(recipients))
 	o.sendState(s, recipients, publication{
 		isDue:    adaptersChanged || (loadChanged || useChanged) && o.config.Now().Sub(o.sentAt) >= minInterval,
-		isChange: adaptersChanged, withAdapters: adaptersChanged || useChanged,
+		isChange: adaptersChanged || isSlower, withAdapters: adaptersChanged || useChanged,
 	})
 }
 
@@ -605,7 +607,8 @@
 type publication struct {
 	// isDue is set if it is sent at once.
 	isDue bool
-	// isChange is set if the adapters have changed or the engine has become unavailable.
+	// isChange is set if the adapters have changed, the engine has become unavailable, or the next message follows later than
+	// entries expect.
 	isChange     bool
 	withAdapters bool
 }
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -422,7 +422,7 @@
 }
 
 // TestStatesGoThroughEntriesThatForward guards against states sent through entries that have not named their domain in
-// this run, that have withdrawn it or are silent, against changes and lost engines told through one entry only, and
+// this run, that have withdrawn it or are silent, against changes, longer intervals and lost engines told through one entry only, and
 // against idle entries forgotten between two of their messages.
 func TestStatesGoThroughEntriesThatForward(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -455,6 +455,11 @@
 		assertSent(5, 0, 0, func() { set("a", nil, 0, 1, 2, 3, 4) })
 		assertSent(1, 1, 1, func() { set("a", &near, 0); set("a", &far, 1, 2, 3, 4) })
 		assertSent(1, 1, 2, func() { set("a", nil, 0, 1, 2, 3, 4); e.update(func() { e.resident[adapter(1)] = 1 }) })
+		assertSent(1, 1, 1, func() {
+			set("a", nil, 0, 1, 2, 3)
+			o.SetDemand(wire.EntryDemand{Boot: "a", VM: "4", UnreadTokens: 1}, "4")
+		})
+		assertSent(1, 1, 2, func() { set("a", nil, 0, 1, 2, 3, 4) })
 		assertSent(1, 1, 2, func() { set("a", nil, 0, 1, 2, 3, 4); e.update(func() { e.isDown = true }) })
 		assertSent(2, 1, 2, func() { set("a", nil, 0, 2, 3, 4); set("b", nil, 1); e.update(func() { e.isDown = false }) })
 		assertSent(2, 1, 1, func() { set("a", nil, 0, 3, 4); set("b", &far, 1); set("a", &none, 2) })
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -61,7 +61,8 @@
 	maxRegistrationReturn      = 2 * time.Second
 	registrationReturnFraction = 2.0 / 3
 	// demandInterval is the interval at which the demand is sent to the sidecars of engines with requests of this entry,
-	// and idleDemandInterval that at which it is sent to the others. A sidecar forgets such an entry after 5 s without a message, one of an earlier release after 3 s.
+	// and idleDemandInterval the least time after which it is sent to the others, which makes it each second time. Sidecars
+	// forget an entry after 5 s without a message then, those of an earlier release after 3 s.
 	demandInterval     = 600 * time.Millisecond
 	idleDemandInterval = 2*demandInterval - demandInterval/4
 	// changedDemandInterval is the interval at which demands that have changed are sent.
