Merge the rest of the relayed states

Longer announced intervals go through two entries; entries with grants for a paced engine get its states directly, because grants are valid for a second only.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -606,9 +606,11 @@
 	minInterval := max(minSendInterval, time.Duration(len(recipients))*sendIntervalPerEntry)
 	o.recipientCount = len(recipients)
 	paceChanged := !equalPace(s.Pace, o.sentState.Pace) && o.config.Now().Sub(o.sentAt) >= minSendInterval
+	// An entry that misses the announcement of a longer interval would take the engine for overdue.
+	isSlower := nextSendWithin(&s, len(recipients)) > nextSendWithin(&o.sentState, len(recipients))
 	o.sendState(s, recipients, publication{
 		isDue:    adaptersChanged || paceChanged || (loadChanged || useChanged) && o.config.Now().Sub(o.sentAt) >= minInterval,
-		isChange: adaptersChanged || paceChanged, withAdapters: adaptersChanged || useChanged,
+		isChange: adaptersChanged || isSlower, withAdapters: adaptersChanged || useChanged,
 	})
 }
 
@@ -622,7 +624,8 @@
 type publication struct {
 	// isDue is set if it is sent at once.
 	isDue bool
-	// isChange is set if the adapters have changed or the engine has become unavailable.
+	// isChange is set if the adapters have changed, the engine has become unavailable, or the next message follows later than
+	// entries expect.
 	isChange     bool
 	withAdapters bool
 }
@@ -645,11 +648,23 @@
 	if len(recipients) > 0 {
 		s.Transfers, o.transfers = o.transfers, nil
 		var to multicaster.Recipients
-		o.multicaster, to = o.multicaster.WithMessage(recipients, multicaster.Message{IsChange: p.isChange}, o.rng)
+		o.multicaster, to = o.multicaster.WithMessage(recipients, multicaster.Message{IsChange: p.isChange, Named: grantees(s.Pace)}, o.rng)
 		o.config.SendState(s, to)
 	}
 }
 
+// grantees returns the entries that have grants, which they need within their short validity.
+func grantees(m *wire.EnginePace) []string {
+	if m == nil {
+		return nil
+	}
+	names := make([]string, len(m.Grants))
+	for i, g := range m.Grants {
+		names[i] = g.VM
+	}
+	return names
+}
+
 // nextSendWithin returns the longest time from a message with the given state to the next one.
 func nextSendWithin(s *wire.EngineState, entries int) time.Duration {
 	if s.Running+s.Waiting == 0 && s.UnreadTokens == 0 {
