Slow callers and endpoints hold a bounded part of an entry

A caller that read a byte per second was never given up: its response stayed in the memory for answers, so that other callers got 502, megabytes of a stream stayed in the kernel, and its engine kept a place in the batch until it cut the response off, which counted as the engine's failure and was retried elsewhere. A body could take for ever, and the bodies held for slow endpoints had no bound in sum and were copied once more for the send.

A caller must take an event of a stream within 2 s and 16 KiB of another response within 10 s; it is given up otherwise, its connection reset, and nothing counted against the endpoint.

TestSlowCallersAreGivenUp has twelve callers of a byte per second beside a normal one. Without the bound on streams the engine still sends after 20 s, without that on responses the normal caller gets 502 for 20 s, without the socket bounds 4.0 MB (caller's side) and 0.8 MB (endpoint's) are taken for a stream where 0.4 MB are allowed. TestSlowBodiesAreBounded fails without the deadline, the memory's bound, its release, or the free part. go test of platform passes (98 s). BenchmarkStreamedEvent: 15.3 us an event through the entry and 5.9 us without it, one run beside other work.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -79,7 +79,7 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	return &Pool{config: c, dialer: net.Dialer{KeepAliveConfig: keepAliveProbes, Control: setUserTimeout}, seed: maphash.MakeSeed(), idle: map[string][]*Conn{}}
+	return &Pool{config: c, dialer: net.Dialer{KeepAliveConfig: keepAliveProbes, Control: setSocketOptions}, seed: maphash.MakeSeed(), idle: map[string][]*Conn{}}
 }
 
 // keepAliveProbes detect a dead connection while a response is awaited. A slow response does not trigger them, because
@@ -93,10 +93,18 @@
 	tcpUserTimeoutOption = 0x12
 )
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// socketBuffer bounds what the kernel holds in each direction of a connection, which it doubles: of responses that a slow
+// caller doesn't take, and of requests that a slow endpoint doesn't read. It would otherwise grow to several megabytes.
+const socketBuffer = 64 << 10
+
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(fd uintptr) {
-		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(userTimeout.Milliseconds()))
+		failure = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(userTimeout.Milliseconds())),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBuffer),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBuffer),
+		)
 	})
 	return errors.Join(err, failure)
 }
@@ -242,7 +250,7 @@
 
 // Send writes the request. If it fails without ErrNotSent, the endpoint may have received the request.
 func (c *Conn) Send(r *Request) error {
-	size := len(r.Method) + len(r.Target) + len(r.Host) + 64 + len(r.Body)
+	size := len(r.Method) + len(r.Target) + len(r.Host) + 64
 	for name, values := range r.Header {
 		for _, v := range values {
 			size += len(name) + len(v) + 4
@@ -269,8 +277,9 @@
 		message = append(message, "\r\n"...)
 	}
 	message = append(message, "\r\n"...)
-	message = append(message, r.Body...)
-	n, err := c.net.Write(message)
+	// The body isn't copied, because a slow endpoint may take it late.
+	parts := net.Buffers{message, r.Body}
+	n, err := parts.WriteTo(c.net)
 	if err != nil && n == 0 {
 		return errors.Mark(errors.Wrap(err, "send the request"), ErrNotSent)
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -434,8 +434,8 @@
 	}
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
 	x.w.WriteHeader(response.status)
-	if _, err := x.w.Write(response.body); err != nil {
-		x.logOutcome("caller-left", response.status)
+	if err := x.writeBody(response.body); err != nil {
+		x.recordDeparture(err, response.status)
 		return
 	}
 	x.f.config.Observer.Request(x.organisationName(), "answered")
@@ -463,7 +463,6 @@
 	e        *endpoint
 	a        *attempt
 	response *http.Response
-	flusher  *http.ResponseController
 	// buffer holds received bytes that don't form a complete event yet.
 	buffer []byte
 	// onFirstEvent is called at the first event, which shows that the engine has finished the prefill.
@@ -474,7 +473,7 @@
 // relay forwards the stream until it ends or the connection fails.
 func (x *exchange) relay(ctx context.Context, e *endpoint, a *attempt, response *http.Response, release func() bool, onFirstEvent func()) (*Refusal, bool) {
 	r := &relayer{
-		x: x, e: e, a: a, response: response, flusher: http.NewResponseController(x.w), buffer: make([]byte, 0, streamBufferSize), onFirstEvent: onFirstEvent,
+		x: x, e: e, a: a, response: response, buffer: make([]byte, 0, streamBufferSize), onFirstEvent: onFirstEvent,
 	}
 	for {
 		err := r.next()
@@ -484,6 +483,7 @@
 				a.conn.Release(response)
 			}
 			x.recordAnswered(true)
+			x.limitWrite(x.f.config.StreamStall)
 			x.writeHeader(response)
 			x.f.config.Observer.Request(x.organisationName(), "answered")
 			x.logOutcome("answered", response.StatusCode)
@@ -491,7 +491,7 @@
 		case errors.Is(err, io.EOF):
 			return x.handleLost(ctx, e, "stream", io.ErrUnexpectedEOF)
 		case errors.Is(err, errCallerDisconnected):
-			x.logOutcome("caller-left", response.StatusCode)
+			x.recordDeparture(err, response.StatusCode)
 			panic(http.ErrAbortHandler)
 		case err != nil:
 			return x.handleLost(ctx, e, "stream", err)
@@ -514,7 +514,7 @@
 	}
 	if len(r.buffer) == cap(r.buffer) {
 		var err error
-		if r.buffer, err = r.x.growBuffer(r.buffer, int64(cap(r.buffer))); err != nil {
+		if r.buffer, err = r.x.held.grow(r.buffer, int64(cap(r.buffer))); err != nil {
 			return err
 		}
 	}
@@ -555,7 +555,7 @@
 		r.x.lastEvent = id
 	}
 	r.x.writeHeader(r.response)
-	if err := r.x.write(r.flusher, events); err != nil {
+	if err := r.x.write(r.x.f.config.StreamStall, events); err != nil {
 		return errors.Mark(err, errCallerDisconnected)
 	}
 	return nil
@@ -572,13 +572,6 @@
 	x.f.config.Observer.FirstToken(x.organisationName(), x.f.config.Now().Sub(x.arrivedAt))
 }
 
-func (x *exchange) write(flusher *http.ResponseController, events []byte) error {
-	if _, err := x.w.Write(events); err != nil {
-		return errors.Wrap(err, "write response to caller")
-	}
-	return errors.Wrap(flusher.Flush(), "write response to caller")
-}
-
 var eventEnd = []byte("\n\n")
 
 // completeEventsLen returns the length of the complete events at the start of the buffer.
--- a/internal/forwarder/delay.go
+++ b/internal/forwarder/delay.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"runtime"
-	"syscall"
 	"time"
 
 	"geraniumladder/pkg/shedder"
@@ -70,31 +67,3 @@
 	}
 	return s.Delay(now), nil
 }
-
-type callerConnKey struct{}
-
-// WithCallerConn is the ConnContext of the callers' http.Server. It lets a Forwarder look at the caller's connection.
-func WithCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
-}
-
-// hasCallerLeft looks at the caller's connection itself. The server cancels the request's context when the caller closes
-// the connection, but in a process that is behind this can take as long as the delay.
-func hasCallerLeft(r *http.Request) bool {
-	conn, ok := r.Context().Value(callerConnKey{}).(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	hasLeft := false
-	// Control, not Read, because the server itself is reading.
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, errno := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		hasLeft = errno == nil && n == 0 || errno == syscall.ECONNRESET
-	})
-	return err != nil || hasLeft
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -91,8 +90,11 @@
 	// Shedding decides which requests are rejected while the process is behind; the default is shedder.Standing.
 	Shedding shedder.Policy
 	// AnswerMemory is the number of bytes of answers that may be held at a time, beside a small number for each request; the
-	// default is 32 MiB. SetAnswerMemory changes it.
+	// default is 32 MiB. SetAnswerMemory changes it. Request bodies may hold as much.
 	AnswerMemory int64
+	// StreamStall and AnswerStall are the times within which a caller must take an event of a stream, and 16 KiB of another
+	// response; the defaults are 2 s and 10 s. A caller that doesn't is given up.
+	StreamStall, AnswerStall time.Duration
 	// OnEvidence, if set, is called when CrashEvidence, Limits or Leaving has changed and should be sent to the other entries soon.
 	OnEvidence func()
 	Now        func() time.Time
@@ -108,10 +110,11 @@
 	quarantine    *quarantine
 	throttle      *throttle
 	reports       *reports
-	answers       answerMemory
-	start         time.Time
-	retry         atomic.Pointer[retrier.Config]
-	leaving       atomic.Bool
+	// answers and bodies bound the memory of responses and of request bodies.
+	answers, bodies sharedMemory
+	start           time.Time
+	retry           atomic.Pointer[retrier.Config]
+	leaving         atomic.Bool
 	// stopAt is the time at which open requests end; nil while the process isn't stopping. ended is cancelled then.
 	stopAt atomic.Pointer[time.Time]
 	ended  context.Context
@@ -132,6 +135,7 @@
 // New returns a Forwarder without a configuration.
 func New(c Config) *Forwarder {
 	c.Selector = c.Selector.WithDefaults()
+	c.StreamStall, c.AnswerStall = cmp.Or(c.StreamStall, defaultStreamStall), cmp.Or(c.AnswerStall, defaultAnswerStall)
 	if c.Members == nil {
 		c.Members = func() []string { return nil }
 	}
@@ -151,8 +155,13 @@
 	return f
 }
 
-// SetAnswerMemory changes the number of bytes of answers that may be held at a time; 0 stands for the default.
-func (f *Forwarder) SetAnswerMemory(n int64) { f.answers.limit.Store(cmp.Or(n, defaultAnswerMemory)) }
+// SetAnswerMemory changes the number of bytes of answers, and of request bodies, that may be held at a time; 0 stands for
+// the default.
+func (f *Forwarder) SetAnswerMemory(n int64) {
+	n = cmp.Or(n, defaultAnswerMemory)
+	f.answers.limit.Store(n)
+	f.bodies.limit.Store(n)
+}
 
 // SetRetry changes the retry budget.
 func (f *Forwarder) SetRetry(c retrier.Config) { f.retry.Store(&c) }
@@ -220,6 +229,7 @@
 type exchange struct {
 	f             *Forwarder
 	w             http.ResponseWriter
+	control       *http.ResponseController
 	r             *http.Request
 	call          Call
 	configuration *registrar.Configuration
@@ -271,8 +281,8 @@
 	admittedTokens float64
 	// transfer is the request's place among those that wait for an adapter load to start.
 	transfer transferPlace
-	// held counts the memory of the endpoints' responses.
-	held heldAnswers
+	// held counts the memory of the endpoints' responses, and heldBody that of the request's body.
+	held, heldBody heldMemory
 	// fallback is an endpoint's error response, which is forwarded if no later attempt succeeds.
 	fallback *bufferedResponse
 }
@@ -296,8 +306,12 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
-	x := &exchange{f: f, w: w, r: r, arrivedAt: f.config.Now(), call: f.config.Translator.DecodeCall(r.Header), held: heldAnswers{memory: &f.answers}}
+	x := &exchange{f: f, w: w, control: http.NewResponseController(w), r: r, arrivedAt: f.config.Now(), call: f.config.Translator.DecodeCall(r.Header), held: heldMemory{memory: &f.answers, free: freeAnswerBytes}, heldBody: heldMemory{memory: &f.bodies, free: firstBuffer}}
 	defer x.held.release()
+	defer x.heldBody.release()
+	if err := x.control.SetWriteDeadline(time.Time{}); err != nil {
+		f.config.Log.Debug().Err(err).Str("Request", x.call.ID).Msg("forwarder: write deadline not removed")
+	}
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -345,29 +359,6 @@
 	return x.f.refuseStopping(x.deadline)
 }
 
-func (x *exchange) readBody() *Refusal {
-	maxBody := x.configuration.Limits().BodyBytes
-	if maxBody <= 0 {
-		maxBody = defaultMaxBody
-	}
-	if x.r.ContentLength > maxBody {
-		return refuseBody(maxBody)
-	}
-	if x.r.ContentLength == 0 {
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, maxBody+1))
-	if err != nil {
-		// The caller disconnected or sent a truncated body, so a response would not be read.
-		panic(http.ErrAbortHandler)
-	}
-	if int64(len(body)) > maxBody {
-		return refuseBody(maxBody)
-	}
-	x.body = body
-	return nil
-}
-
 // tokens returns the cost of the request against its organisation's limit.
 func (x *exchange) tokens() float64 {
 	switch {
@@ -442,6 +433,7 @@
 
 // refuse sends the refusal to the caller.
 func (x *exchange) refuse(refusal *Refusal) {
+	x.limitWrite(x.f.config.AnswerStall)
 	refusal.write(x.w, x.f.config.Translator.RequestIDHeader(), x.call.ID)
 	x.f.config.Observer.Refusal(x.organisationName(), refusal.Reason)
 	x.logOutcome(refusal.Reason, refusal.Status)
