check warns of items without effect and contradictory limits

check accepted folders that can't do what their operators mean: a call that an earlier one of its route hides, an organisation that no key or no route belongs to, an objective whose threshold no deadline lets a request reach, and two targets for one objective. The differences from the revision in force took another command.

Parse and the other commands accept what they accepted before. Keys of unknown organisations were a fault already.

TestCheckWarns and TestExitCodes pass with -race; each of the nine conditions was taken out or changed in turn and one of the two failed.

--- a/internal/merger/parse.go
+++ b/internal/merger/parse.go
@@ -103,6 +103,11 @@
 
 // Parse is like the function Parse, but does not decode files again that the previous call decoded.
 func (p *Parser) Parse(files []File) (Items, []Fault) {
+	c, items := p.parse(files)
+	return items, c.faults
+}
+
+func (p *Parser) parse(files []File) (*checker, Items) {
 	p.previous, p.current = p.current, make(map[string]decodedFile, len(files))
 	files = slices.DeleteFunc(slices.Clone(files), func(f File) bool { return !IsConfigFile(f.Name) })
 	slices.SortStableFunc(files, func(a, b File) int { return cmp.Compare(a.Name, b.Name) })
@@ -126,10 +131,14 @@
 		// References to items that could not be decoded would look dangling and hide the actual fault.
 		c.checkReferences()
 	}
-	slices.SortStableFunc(c.faults, func(a, b Fault) int {
+	sortFaults(c.faults)
+	return &c, items
+}
+
+func sortFaults(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int {
 		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Field, b.Field), cmp.Compare(a.Problem, b.Problem))
 	})
-	return items, c.faults
 }
 
 func checkFiles(files []File) []Fault {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -120,8 +120,10 @@
 		c.Wait = DefaultWait
 	}
 	return []*cli.Command{
-		command("check", "check the files of a folder without the platform", "DIR",
-			"geraniumladder check configuration", c.check),
+		command("check", "check the files of a folder, without the platform unless --diff is given", "DIR",
+			"geraniumladder check --strict configuration", c.check,
+			&cli.BoolFlag{Name: "strict", Usage: "exit with 3 if there are warnings"},
+			&cli.BoolFlag{Name: "diff", Usage: "also show the differences from the newest revision on the platform"}),
 		command("diff", "show what apply would change", "DIR",
 			"geraniumladder --platform http://10.0.0.2:8000 diff configuration", c.diff),
 		command("apply", "commit the edits of a folder and wait until they are in force everywhere", "DIR",
@@ -317,14 +319,26 @@
 	Adapters      int
 	Routes        int
 	Objectives    int
+	// Warnings are items that have no effect and limits that contradict each other.
+	Warnings []merger.Fault `json:",omitempty"`
+	// Difference is what apply would change; nil if it was not asked for.
+	Difference *diffResult `json:",omitempty"`
 }
 
 func (r checkResult) text() string {
-	return fmt.Sprintf("valid: %d files with %d organisations, %d keys, %d adapters, %d routes, %d objectives\n",
+	var text strings.Builder
+	fmt.Fprintf(&text, "valid: %d files with %d organisations, %d keys, %d adapters, %d routes, %d objectives\n",
 		r.Files, r.Organisations, r.Keys, r.Adapters, r.Routes, r.Objectives)
+	for _, w := range r.Warnings {
+		fmt.Fprintf(&text, "warning: %s\n", w)
+	}
+	if r.Difference != nil {
+		text.WriteString(r.Difference.text())
+	}
+	return text.String()
 }
 
-func (c Config) check(_ context.Context, cmd *cli.Command) (result, error) {
+func (c Config) check(ctx context.Context, cmd *cli.Command) (result, error) {
 	dir, err := folderArg(cmd)
 	if err != nil {
 		return nil, err
@@ -333,12 +347,27 @@
 	if err != nil {
 		return nil, usageError("%s", err)
 	}
-	items, faults := merger.Parse(folder.Files)
+	items, faults, warnings := merger.Check(folder.Files)
 	if len(faults) > 0 {
 		return nil, &applier.Invalid{Faults: faults}
 	}
-	return checkResult{Files: len(folder.Files), Organisations: len(items.Organisations), Keys: len(items.Keys),
-		Adapters: len(items.Adapters), Routes: len(items.Routes), Objectives: len(items.Objectives)}, nil
+	r := checkResult{Files: len(folder.Files), Organisations: len(items.Organisations), Keys: len(items.Keys),
+		Adapters: len(items.Adapters), Routes: len(items.Routes), Objectives: len(items.Objectives), Warnings: warnings}
+	if cmd.Bool("diff") {
+		p, err := c.platform(cmd)
+		if err != nil {
+			return r, err
+		}
+		d, err := applier.DiffFolder(ctx, p, dir)
+		if err != nil {
+			return r, err
+		}
+		r.Difference = &diffResult{d}
+	}
+	if cmd.Bool("strict") && len(warnings) > 0 {
+		return r, &applier.Invalid{Faults: warnings}
+	}
+	return r, nil
 }
 
 type diffResult struct {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -113,11 +113,43 @@
 	}
 }
 
+// Guards against items without effect and contradictory limits that check doesn't report, and against warnings of items that
+// have an effect.
+func TestCheckWarns(t *testing.T) {
+	head := organisations + "Keys:\n- {Id: k, Organisation: st-mary, Digest: " + digest + "}\n"
+	route := "Routes:\n- Name: r\n  Organisations: [st-mary]\n  Service: ledger\n  Deadline: 5s\n  Calls:\n"
+	get, all, post := "  - {Method: GET, Path: /a/b, Repeatable: true}\n", "  - {Method: \"*\", Path: /a/*, Repeatable: true}\n", "  - {Method: POST, Path: /a/*, Repeatable: false}\n"
+	objective := func(name, fields string) string {
+		return "- {Name: " + name + ", Indicator: FirstToken, " + fields + "}\n"
+	}
+	for _, c := range []struct{ name, content, want string }{
+		{"all in effect", head + route + get + post + all, ""},
+		{"hidden by a prefix and any method", head + route + all + get, "20.yaml:12: Routes[0].Calls[1]: never matches, because Calls[0]"},
+		{"not hidden by another method", head + route + post + get, ""},
+		{"no key", organisations, `20.yaml:2: Organisations[0].Name: no key belongs to "st-mary"`},
+		{"no route", head, `20.yaml:2: Organisations[0].Name: no route is open to "st-mary"`},
+		{"threshold beyond the deadline", head + route + get + "Objectives:\n" + objective("o", "Threshold: 5s, Target: 0.9"), "Objectives[0].Threshold: 5s is not below 5s"},
+		{"threshold within the deadline", head + route + get + "Objectives:\n" + objective("o", "Threshold: 4s, Target: 0.9"), ""},
+		{"two targets", head + route + get + "Objectives:\n" + objective("o", "Threshold: 1s, Target: 0.9") + objective("p", "Threshold: 1s, Target: 0.8"),
+			"Objectives[1].Target: 0.8 contradicts 0.9 in 20.yaml:"},
+		{"targets of two thresholds", head + route + get + "Objectives:\n" + objective("o", "Threshold: 1s, Target: 0.9") + objective("p", "Threshold: 2s, Target: 0.95"), ""},
+	} {
+		out, code, err := runCommand(nil, nil, "check", writeFolder(t, map[string]string{"20.yaml": c.content}))
+		assert.Equal(t, code, operator.ExitOK, "%s: %v", c.name, err)
+		_, warnings, hasWarning := strings.Cut(out, "warning: ")
+		assert.Equal(t, hasWarning, c.want != "", "%s: %s", c.name, out)
+		assert.Assert(t, strings.Contains(warnings, c.want), "%s: %s", c.name, out)
+	}
+}
+
 // Guards against wrong exit codes, which operators' scripts depend on, and against JSON output without the faults.
 func TestExitCodes(t *testing.T) {
 	memory := storer.NewMemoryPlatform()
 	one := writeFolder(t, map[string]string{"10.yaml": organisations + adapters})
 	bad := writeFolder(t, map[string]string{"20.yaml": "Adapters:\n-\n"})
+	warned := writeFolder(t, map[string]string{"10.yaml": organisations + adapters, "20.yaml": "Organisations:\n- {Name: idle, Rate: 1, Burst: 1}\n"})
+	effective := writeFolder(t, map[string]string{"10.yaml": organisations, "20.yaml": "Keys:\n- {Id: k, Organisation: st-mary, Digest: " + digest + "}\n" +
+		"Routes:\n- {Name: r, Organisations: [st-mary], Service: ledger}\n"})
 	conflicting := writeFolder(t, map[string]string{"10.yaml": organisations})
 	steps := []struct {
 		name    string
@@ -135,6 +167,11 @@
 		{name: "unknown flag", args: []string{"check", "--depth", "3", one}, code: operator.ExitUsage},
 		{name: "unknown format", args: []string{"check", "--output", "xml", one}, code: operator.ExitUsage},
 		{name: "no platform", args: []string{"apply", one}, code: operator.ExitUsage},
+		{name: "warning", args: []string{"check", warned}, output: "valid: 2 files"},
+		{name: "strict without warnings", args: []string{"check", "--strict", effective}},
+		{name: "strict", args: []string{"--output", "json", "check", "--strict", warned}, code: operator.ExitInvalid, output: `"File":"20.yaml","Line":2`},
+		{name: "check and diff", args: []string{"--platform", "p", "--output", "json", "check", "--diff", one}, output: `"Difference":{"Revision":0,"Changed":["10.yaml"]`},
+		{name: "check and diff without a platform", args: []string{"check", "--diff", one}, code: operator.ExitUsage},
 		{name: "faults as JSON", args: []string{"--output", "json", "check", bad}, code: operator.ExitInvalid, output: `"Line":2`},
 		{name: "diff", args: []string{"--platform", "p", "diff", one}, output: "organisation st-mary set"},
 		{name: "apply", args: []string{"--platform", "p", "apply", one}, output: "revision 1 is in force on every live VM"},
