The server itself ends a response's write deadline

ServeHTTP removed the write deadline of an earlier request, with a log line in case that fails, for each request. A test that reuses a connection after the deadline passed without that line: net/http removes the deadline after each response (server.go, serve). The line and its cost are gone; go test -race of internal/forwarder passes, the slow callers' tests five times.

--- a/internal/forwarder/callers.go
+++ b/internal/forwarder/callers.go
@@ -114,7 +114,7 @@
 }
 
 // limitWrite bounds the time of the writes to the caller that follow, among them the server's own at the end of the
-// response. ServeHTTP removes the bound of an earlier request.
+// response. The server removes the bound before it reads the next request.
 func (x *exchange) limitWrite(stall time.Duration) {
 	if err := x.control.SetWriteDeadline(time.Now().Add(stall)); err != nil {
 		x.f.config.Log.Debug().Err(err).Str("Request", x.call.ID).Msg("forwarder: write deadline not set")
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -309,9 +309,6 @@
 	x := &exchange{f: f, w: w, control: http.NewResponseController(w), r: r, arrivedAt: f.config.Now(), call: f.config.Translator.DecodeCall(r.Header), held: heldMemory{memory: &f.answers, free: freeAnswerBytes}, heldBody: heldMemory{memory: &f.bodies, free: firstBuffer}}
 	defer x.held.release()
 	defer x.heldBody.release()
-	if err := x.control.SetWriteDeadline(time.Time{}); err != nil {
-		f.config.Log.Debug().Err(err).Str("Request", x.call.ID).Msg("forwarder: write deadline not removed")
-	}
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
