--- a/pkg/pacer/limiter.go
+++ b/pkg/pacer/limiter.go
@@ -50,12 +50,12 @@
 
 // Defaults of AdaptiveConfig.
 const (
-	DefaultInitial = 8
+	DefaultInitial  = 8
 	DefaultMin      = 2
 	DefaultLateCost = 1
 	// DefaultMaxTime outlasts the slow first seconds of an engine. In an overloaded fleet responses are late everywhere, and
 	// an endpoint that is held back for longer costs more than it gains.
-	DefaultMaxTime = 12 * time.Second
+	DefaultMaxTime   = 12 * time.Second
 	DefaultSlackTime = 3 * time.Second
 	// DefaultSettleTime is above the longest interval of a sidecar's messages.
 	DefaultSettleTime = time.Second
