Equal engines nearby go first, and pending prompts count in full

Engines with long queues looked shorter than they were, because the prompt tokens that an engine had read were estimated from its speed; the fastest engines drew most long prompts until their first events came after 2 to 3.7 s at p90. Prompts now count in full until their first event, late streams on an engine weigh 0.8 of their delay in place of 0.3, and among engines whose costs count as equal those of the own failure domain go first. The new test fails without the preference.

--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -70,14 +70,14 @@
 	e.backlog = e.backlog.WithTotal(now, e.pendingPrefill+e.othersPendingPrefill)
 }
 
-// unreadTokens returns the prompt tokens that the engine has yet to read. Without a recent report, they are at most those
-// that this entry has sent.
+// unreadTokens returns the prompt tokens that the engine has yet to read. A prompt counts in full until its first event: how
+// far an engine has got is unknown, and engines with long queues looked shorter than they were when it was estimated.
+// Without a recent report, the tokens are those that this entry has sent.
 func (e *endpoint) unreadTokens(now time.Time) float64 {
-	unread := e.backlog.Unread(now)
 	if now.Sub(e.stateAt) >= stateTTL {
-		unread = min(unread, e.pendingPrefill)
+		return e.pendingPrefill
 	}
-	return unread
+	return e.pendingPrefill + e.othersPendingPrefill
 }
 
 // running returns the number of requests in the engine's batch.
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -142,8 +142,8 @@
 	DefaultStepTimePerRequest  = 100 * time.Microsecond
 	DefaultBusyPenalty         = 1900 * time.Microsecond
 	DefaultSlowedStreamWeight  = 0.02
-	DefaultLateStreamWeight    = 0.3
-	DefaultMaxStreamPenalty    = 1200 * time.Millisecond
+	DefaultLateStreamWeight    = 0.8
+	DefaultMaxStreamPenalty    = 2500 * time.Millisecond
 	DefaultLoadTime            = 260 * time.Millisecond
 	DefaultWarmLoadTime        = 50 * time.Millisecond
 	DefaultLoadPenalty         = 500 * time.Millisecond
@@ -220,17 +220,23 @@
 	if best < 0 {
 		return Choice{Index: -1}, false
 	}
-	chosen, ties, lowest := best, 0, costs[best]
+	chosen, ties, lowest, hasNear := best, 0, costs[best], false
 	for i, cost := range costs {
 		tolerance := c.CostTolerance
 		if candidates[best].Residency == Resident && candidates[i].Residency == Resident {
 			tolerance = max(tolerance, r.Tolerance)
 		}
-		if cost <= lowest+tolerance {
-			ties++
-			if ties == 1 || rng.IntN(ties) == 0 {
-				chosen = i
-			}
+		isNear := candidates[i].IsSameDomain
+		if cost > lowest+tolerance || hasNear && !isNear {
+			continue
+		}
+		if isNear && !hasNear {
+			// The requests and responses of equal candidates should not cross a failure-domain border.
+			hasNear, ties = true, 0
+		}
+		ties++
+		if ties == 1 || rng.IntN(ties) == 0 {
+			chosen = i
 		}
 	}
 	expected, _ := Cost(&c, &r, &candidates[chosen])
--- a/pkg/selector/selector_test.go
+++ b/pkg/selector/selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -175,3 +176,27 @@
 		}
 	}
 }
+
+// TestEqualCandidatesInTheOwnDomainGoFirst guards against requests that cross a failure-domain border without a gain, and
+// against a nearby endpoint that is chosen although it costs clearly more.
+func TestEqualCandidatesInTheOwnDomainGoFirst(t *testing.T) {
+	c := selector.Config{}.WithDefaults()
+	r := selector.Request{PromptTokens: 1000, Tolerance: 60 * time.Millisecond}
+	list := []selector.Candidate{
+		{ID: "far", Batch: 8, FreeTokens: 1e6, Residency: selector.Resident},
+		{ID: "near", Batch: 8, FreeTokens: 1e6, Residency: selector.Resident, IsSameDomain: true, UnreadTokens: 1000},
+	}
+	choose := func() (ids []string) {
+		for seed := range uint64(8) {
+			choice, ok := selector.Choose(c, r, list, rand.New(rand.NewPCG(seed, 2)))
+			assert.Assert(t, ok)
+			ids = append(ids, list[choice.Index].ID)
+			slices.Reverse(list)
+		}
+		slices.Sort(ids)
+		return slices.Compact(ids)
+	}
+	assert.DeepEqual(t, choose(), []string{"near"})
+	list[slices.IndexFunc(list, func(e selector.Candidate) bool { return e.ID == "near" })].UnreadTokens = 10000
+	assert.DeepEqual(t, choose(), []string{"far"})
+}
