Pacing where the configuration knows a slow start; only hopeless requests are rejected

Two mechanisms took effect where nothing called for them. TestEngineWithoutSlowStartIsNotPaced fails without the rule; the tests of the packages pass.

--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -206,7 +206,7 @@
 		if c != nil {
 			e.setService(c.Service(r.Service), now)
 		}
-		e.pace.setListed(old[key] == nil && e.engine != nil && now.Sub(f.listedAt) >= fleetStartTime, now)
+		e.pace.setListed(old[key] == nil && e.engine != nil && e.pace.hasSlowStart && now.Sub(f.listedAt) >= fleetStartTime, now)
 		f.byIncarnation[key] = e
 		if other := f.byAddress[r.Address]; other == nil || other.Born < r.Born {
 			f.byAddress[r.Address] = e
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -95,7 +95,7 @@
 	Selector selector.Config
 	// Shedding decides which requests are rejected while the process is behind; the default is shedder.Standing.
 	Shedding shedder.Policy
-	// Admission decides which requests are rejected because they can't be served in time; the default is arbiter.Fair.
+	// Admission decides which requests are rejected because they can't be served in time; the default is arbiter.Limited.
 	Admission arbiter.Policy
 	// AnswerMemory is the number of bytes of answers that may be held at a time, beside a small number for each request; the
 	// default is 32 MiB. SetAnswerMemory changes it. Request bodies may hold as much.
@@ -155,7 +155,7 @@
 		c.Shedding = shedder.Standing{}
 	}
 	if c.Admission == nil {
-		c.Admission = arbiter.Fair{}
+		c.Admission = arbiter.Limited{}
 	}
 	elapsed := clock{now: c.Now, start: c.Now()}
 	r := newReports(elapsed, c.Observer, c.Log)
--- a/internal/forwarder/pacing.go
+++ b/internal/forwarder/pacing.go
@@ -41,6 +41,8 @@
 	coldRemaining time.Duration
 	coldUntil     time.Time
 	coldPerSecond float64
+	// hasSlowStart means that the service's configuration says for how long its endpoints are cold after a start.
+	hasSlowStart bool
 	// waiting is the number of requests that wait for a grant at this endpoint in particular.
 	waiting   int
 	responses pacer.Responses
@@ -92,9 +94,9 @@
 // setRegistration applies what the endpoint has registered. A registration that is read again says nothing new, so only a
 // changed one counts from now.
 func (p *endpointPace) setRegistration(r *registrar.Endpoint, s *registrar.Service, now time.Time) {
-	p.coldPerSecond = 0
+	p.coldPerSecond, p.hasSlowStart = 0, false
 	if s != nil {
-		p.coldPerSecond = s.ColdPerSecond
+		p.coldPerSecond, p.hasSlowStart = s.ColdPerSecond, s.ColdStart > 0
 	}
 	if r.ColdRemaining == p.coldRemaining {
 		return
--- a/internal/orderer/pacing.go
+++ b/internal/orderer/pacing.go
@@ -62,6 +62,11 @@
 	case p.isNew && p.pacedBorn != r.Born:
 		reason = "new"
 	}
+	if c.ColdStart <= 0 {
+		// The configuration knows no slow start. Where many engines restart into an overload, holding them back then costs
+		// callers more than it protects.
+		reason = ""
+	}
 	if reason != "" {
 		if isRestarted {
 			// The registration may reach the entries seconds later.
--- a/pkg/arbiter/arbiter.go
+++ b/pkg/arbiter/arbiter.go
@@ -131,7 +131,7 @@
 	return Decision{Kind: Admitted}
 }
 
-// Limited rejects the requests whose first event would come too late to be of use, by a clear excess.
+// Limited is the default. It rejects the requests whose first event would come too late to be of use, by a clear excess.
 type Limited struct{}
 
 // Decide implements Policy.
@@ -142,8 +142,9 @@
 	return reject(Unreachable, r, rng)
 }
 
-// Fair is the policy in force: beside what Limited rejects, it rejects new requests that will be late while capacity is
-// short. An organisation beyond its share is rejected from a lower expected time on.
+// Fair is for a fleet in which the queues of all engines alone make requests late. Beside what Limited rejects, it rejects
+// new requests that will be late while capacity is short. An organisation beyond its share is rejected from a lower expected
+// time on.
 type Fair struct{}
 
 // Decide implements Policy.
