Waiting requests select an endpoint less often in large fleets

Each request that waits for the weight store compared all engines every 100 ms. The interval now grows with the waiting adapters and the engines, so that all waiting requests together compare about 1,024 candidates in 100 ms; a granted load, a report of the adapter and the last moment at which a load would be in time end the wait as before.

--- a/internal/forwarder/transfers.go
+++ b/internal/forwarder/transfers.go
@@ -12,8 +12,13 @@
 	"geraniumladder/pkg/budgeter"
 )
 
-// rechooseInterval is the time after which a request that waits for the start of a load selects an endpoint again.
-const rechooseInterval = 100 * time.Millisecond
+const (
+	// rechooseInterval is the time after which a request that waits for the start of a load selects an endpoint again.
+	rechooseInterval = 100 * time.Millisecond
+	// rechosenCandidates is the number of candidates that the waiting requests together compare in rechooseInterval. With
+	// more, each selects less often, so that it takes about 1% of a core. A granted load ends the wait in any case.
+	rechosenCandidates = 1024
+)
 
 // transferRetryAfter is the Retry-After value of requests that no load can serve in time.
 const transferRetryAfter = 500 * time.Millisecond
@@ -190,6 +195,7 @@
 	f.mu.Lock()
 	isWarm := e.isWarm(x.call.Model)
 	_, holdsModel := e.resident[registrar.AdapterKey{Model: x.call.Model.Model}]
+	engines := len(f.byService[x.service])
 	f.mu.Unlock()
 	if isWarm || !holdsModel {
 		// A warm load doesn't use the weight store, and the load of a model has its own limit.
@@ -212,10 +218,12 @@
 		return true, nil
 	}
 	x.transfer.isQueued = true
-	if stats := x.f.Transfers(); remaining < stats.BaseTime {
+	stats := x.f.Transfers()
+	if remaining < stats.BaseTime {
 		return false, refuseUnavailable("transfer-budget", transferRetryAfter)
 	}
-	timer := time.NewTimer(rechooseInterval)
+	interval := rechooseInterval * time.Duration(max(1, stats.Waiting*engines/rechosenCandidates))
+	timer := time.NewTimer(min(interval, remaining-stats.BaseTime+time.Millisecond))
 	defer timer.Stop()
 	select {
 	case <-wake:
--- a/internal/forwarder/transfers_test.go
+++ b/internal/forwarder/transfers_test.go
@@ -1,7 +1,9 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,7 +37,12 @@
 // engine has 16 in flight.
 func newBusyStore(t *testing.T, idle, busy *endpoint) (f *fixture, loading []string) {
 	t.Helper()
-	f = newFixture(t, idle, busy)
+	return newBusyStoreAt(t, longRunningClock(), idle, busy)
+}
+
+func newBusyStoreAt(t *testing.T, now func() time.Time, idle, busy *endpoint) (f *fixture, loading []string) {
+	t.Helper()
+	f = newFixtureWith(t, translator{}, now, idle, busy)
 	f.SetConfiguration(registrar.NewConfiguration(registrar.ConfigurationParts{
 		Version: 2,
 		Routes: []registrar.Route{{
@@ -146,6 +153,36 @@
 	assert.Equal(t, got.status, 200)
 }
 
+// TestWaitingRequestsSelectSeldomInLargeFleets guards against requests that wait for the weight store and compare all
+// engines every 100 ms each, which takes the processor time of the others.
+func TestWaitingRequestsSelectSeldomInLargeFleets(t *testing.T) {
+	const waiting, engines = 16, 1024
+	idle, busy := newEndpoint(t, "idle", ok), newEndpoint(t, "busy", ok)
+	var readings atomic.Int64
+	clock := longRunningClock()
+	f, _ := newBusyStoreAt(t, func() time.Time { readings.Add(1); return clock() }, idle, busy)
+	list := []registrar.Endpoint{idle.registered("s"), busy.registered("s")}
+	for i := range engines {
+		list = append(list, registrar.Endpoint{ID: fmt.Sprint("other", i), Service: "s", Address: fmt.Sprintf("127.0.0.1:%d", i+1)})
+	}
+	f.SetEndpoints(list)
+	for _, e := range list[2:] {
+		f.SetState(wire.EngineState{Address: e.Address, Adapters: &wire.EngineAdapters{Resident: []wire.AdapterName{{Model: "base", Version: 1}}}})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for i := range waiting {
+		go f.sendCtx(ctx, "/model/", "", "Uses", fmt.Sprint("base/a", i))
+	}
+	poll.WaitOn(t, isWaiting(f, waiting), poll.WithTimeout(20*time.Second))
+	// The first requests to wait know of few others and select again once.
+	time.Sleep(400 * time.Millisecond)
+	before := readings.Load()
+	time.Sleep(time.Second)
+	choices := (readings.Load() - before) / engines
+	assert.Assert(t, choices < 3*waiting, "%d choices", choices)
+}
+
 // TestWarmLoadDoesNotWait guards against loads from an engine's own memory that wait for the weight store, also after the
 // engine has restarted, and against relying on copies that a restart has lost.
 func TestWarmLoadDoesNotWait(t *testing.T) {
