--- a/review/testdata/cases2/main.go
+++ b/review/testdata/cases2/main.go
@@ -15,6 +15,7 @@
 
 // cases maps the name of each case to its play. A play returns what broke the rule, empty if it held.
 var cases = map[string]func(w *world) ([]string, error){
+	"foreign": playForeign,
 	"limit":   playLimit,
 	"mixed":   playMixed,
 	"refused": playRefused,
