--- a/review/testdata/cases2/twice.go
+++ b/review/testdata/cases2/twice.go
@@ -66,7 +66,7 @@
 	count := 0
 	kills, preempts := time.After(12*time.Second), time.After(12200*time.Millisecond)
 	killed := make(chan struct{})
-	ticker := time.NewTicker(40 * time.Millisecond)
+	ticker := time.NewTicker(12 * time.Millisecond)
 	defer ticker.Stop()
 	for time.Since(begin) < 20*time.Second {
 		select {
