--- a/review/testdata/cases2/main.go
+++ b/review/testdata/cases2/main.go
@@ -26,6 +26,8 @@
 		fmt.Fprintln(os.Stderr, "usage: cases2 CASE PROGRAM FOLDER; the folder gets record.txt")
 		os.Exit(2)
 	}
+	// A reader that closes the output early must not end this process before it has ended the others.
+	signal.Ignore(syscall.SIGPIPE)
 	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
 }
 
@@ -66,6 +68,7 @@
 	}()
 	select {
 	case r := <-results:
+		w.close()
 		if r.err != nil {
 			w.logf("the case could not run: %v", r.err)
 			fmt.Println("could not run:", r.err)
