An endpoint's unmarked 503 no longer tells callers that a request has not run

A complete response reaches handleBuffered only if it doesn't say "not run". One with such a status is no longer forwarded there: idempotent requests go on at another endpoint, others end with 502, without the endpoint's signature. This holds for every kind of route and each of the four statuses, wherever the response comes from.

TestRejectionAfterRunIsNoPromise failed before (503 for 502) and passes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -429,21 +429,34 @@
 // handleBuffered handles a response that has been read completely.
 func (x *exchange) handleBuffered(e *endpoint, response *bufferedResponse) (*Refusal, bool) {
 	isFailure := response.status >= http.StatusInternalServerError
+	// The endpoint would have said that it has not run the request, so the status must not reach the caller.
+	isUnproven := guaranteesNotRun(response.status)
 	x.recordOutcome(e, isFailure, false)
-	if isFailure && x.route.IsIdempotent() && !x.wroteHeader {
-		// finish sends the error response if no later attempt succeeds. Without attempts left, it is sent below.
-		x.fallback = response
-		x.excluded[incarnation{id: e.ID, born: e.Born}] = true
-		x.logAttempt(e, "failed", strconv.Itoa(response.status))
-		if x.hasAttemptsLeft() {
-			return nil, false
-		}
-		x.fallback = nil
-	}
 	if x.wroteHeader {
 		// The response header has been sent, so the status of a failed continuation can't be forwarded.
 		return badGateway("continuation"), false
 	}
+	if !isFailure && !isUnproven {
+		x.writeBuffered(response)
+		return nil, true
+	}
+	x.logAttempt(e, "failed", strconv.Itoa(response.status))
+	canRetry := x.route.IsIdempotent() && x.hasAttemptsLeft()
+	x.excluded[incarnation{id: e.ID, born: e.Born}] = true
+	switch {
+	case canRetry && isUnproven:
+		return nil, false
+	case canRetry:
+		// finish forwards it if no later attempt succeeds.
+		x.fallback = response
+		return nil, false
+	case isUnproven:
+		refusal := refuseUnprovenRejection()
+		if closed := x.refuseClosed(); closed != nil {
+			refusal.RetryAfter = closed.RetryAfter
+		}
+		return refusal, false
+	}
 	x.writeBuffered(response)
 	return nil, true
 }
@@ -453,11 +466,6 @@
 // writeBuffered forwards a buffered response to the caller.
 func (x *exchange) writeBuffered(response *bufferedResponse) {
 	copyHeader(x.w.Header(), response.header)
-	if x.isRejected && response.status == http.StatusServiceUnavailable {
-		if refusal := x.refuseClosed(); refusal != nil {
-			refusal.writeRetryAfter(x.w.Header())
-		}
-	}
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
 	x.w.WriteHeader(response.status)
 	if err := x.writeBody(response.body); err != nil {
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -22,8 +22,11 @@
 func (r *Refusal) Error() string { return r.Message }
 
 // IsNotRun reports whether the status guarantees that the request has not run and will not run.
-func (r *Refusal) IsNotRun() bool {
-	switch r.Status {
+func (r *Refusal) IsNotRun() bool { return guaranteesNotRun(r.Status) }
+
+// guaranteesNotRun reports whether callers take the status for a guarantee that the request has not run and will not run.
+func guaranteesNotRun(status int) bool {
+	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
 	}
@@ -116,6 +119,15 @@
 	}
 }
 
+// refuseUnprovenRejection replaces an endpoint's rejection that doesn't state that the request has not run. Forwarded as it
+// is, its status would guarantee that.
+func refuseUnprovenRejection() *Refusal {
+	return &Refusal{
+		Status: http.StatusBadGateway, Reason: "unproven-rejection",
+		Message: "the endpoint rejected the request without stating that it has not run; it may have run",
+	}
+}
+
 func gatewayTimeout() *Refusal {
 	return &Refusal{
 		Status: http.StatusGatewayTimeout, Reason: "timeout",
