An engine's error status doesn't say that a request has not run

No engine states that such a request has not run.

Only statuses for an invalid request (400, 401, 403, 404, 405, 413, 415, 422) are proof now. After others the outcome is "unknown"; the request is tried elsewhere as before, and its adapter stays pinned until the engine confirms its end.

--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -306,6 +306,9 @@
 	if r.lastEventID >= 0 {
 		return r.fail(wire.RunErrorCodeEngineFailed, message+"; the stream is lost, retry the request")
 	}
+	if !isInvalidRequest(resp.StatusCode) {
+		return r.fail(wire.RunErrorCodeEngineFailed, message)
+	}
 	code := wire.RunErrorCodeEngineFailed
 	if resp.StatusCode == http.StatusBadRequest {
 		code = wire.RunErrorCodeBadRequest
@@ -313,6 +316,17 @@
 	return &wire.RunError{Code: code, Outcome: wire.RunErrorOutcomeNotRun, Message: message, RequestID: r.header.RequestID}
 }
 
+// isInvalidRequest reports whether an engine answers with the status before it runs a request, because the request itself
+// can't be run. An engine may give any other status, including 408, 429 and 503, after it has begun to run the request.
+func isInvalidRequest(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusMethodNotAllowed,
+		http.StatusRequestEntityTooLarge, http.StatusUnsupportedMediaType, http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
+
 func (r *relayer) relayEvents(ctx context.Context, cancel context.CancelFunc, body io.Reader) (*wire.RunError, bool) {
 	events, end := make(chan event, 16), make(chan error, 1)
 	go readEvents(ctx, body, events, end)
