A failed continuation no longer becomes a part of the stream

After a stream of a resumable route had broken off, callers could find the text of an error in it, another answer's head, events twice, or a stream that looked complete after three of six events.

The entry asked the next endpoint to go on after an event and forwarded whatever complete events came; an empty continuation counted as complete because the stream as a whole had events. Now the first event of a continuation must consist of fields and have an ID above the last one forwarded, and a continuation without events is complete only if its end is marked. What fails this counts as a lost attempt, so that the stream goes on elsewhere while attempts last; so does an error status, after which it was broken off at once before. A stream whose last event has no ID isn't continued.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -432,11 +432,7 @@
 	// The endpoint would have said that it has not run the request, so the status must not reach the caller.
 	isUnproven := guaranteesNotRun(response.status)
 	x.recordOutcome(e, isFailure, false)
-	if x.wroteHeader {
-		// The response header has been sent, so the status of a failed continuation can't be forwarded.
-		return badGateway("continuation"), false
-	}
-	if !isFailure && !isUnproven {
+	if !isFailure && !isUnproven && !x.wroteHeader {
 		x.writeBuffered(response)
 		return nil, true
 	}
@@ -444,12 +440,15 @@
 	canRetry := x.route.IsIdempotent() && x.hasAttemptsLeft()
 	x.excluded[incarnation{id: e.ID, born: e.Born}] = true
 	switch {
-	case canRetry && isUnproven:
+	case canRetry && (isUnproven || x.wroteHeader):
 		return nil, false
 	case canRetry:
 		// finish forwards it if no later attempt succeeds.
 		x.fallback = response
 		return nil, false
+	case x.wroteHeader:
+		// The response header has been sent, so the status of a failed continuation can't be forwarded.
+		return badGateway("continuation"), false
 	case isUnproven:
 		refusal := refuseUnprovenRejection()
 		if closed := x.refuseClosed(); closed != nil {
@@ -512,7 +511,7 @@
 	for {
 		err := r.next()
 		switch {
-		case errors.Is(err, io.EOF) && len(r.buffer) == 0 && (x.attemptEvents > 0 || x.wroteHeader || isFramed(response)):
+		case errors.Is(err, io.EOF) && len(r.buffer) == 0 && (x.attemptEvents > 0 || isFramed(response)):
 			if release() {
 				a.conn.Release(response)
 			}
@@ -557,6 +556,9 @@
 	r.buffer = r.buffer[:len(r.buffer)+n]
 	r.pauses.waited += r.x.f.config.Now().Sub(readAt)
 	if end := completeEventsLen(r.buffer); end > 0 {
+		if r.x.wroteHeader && r.x.attemptEvents == 0 && !continues(r.buffer[:end], r.x.lastEvent) {
+			return errNoContinuation
+		}
 		// Bytes that complete no event are no progress: a faulty endpoint may send one now and then without end.
 		r.a.recordProgress(r.x.f.config.Now())
 		if r.x.attemptEvents == 0 {
@@ -586,9 +588,7 @@
 			r.x.recordForecast(true)
 		}
 	}
-	if id, ok := lastEventID(events); ok {
-		r.x.lastEvent = id
-	}
+	r.x.lastEvent = lastEventID(events)
 	r.x.writeHeader(r.response)
 	if err := r.x.write(r.x.f.config.StreamStall, events); err != nil {
 		return errors.Mark(err, errCallerDisconnected)
@@ -607,32 +607,6 @@
 	x.f.config.Observer.FirstToken(x.organisationName(), x.f.config.Now().Sub(x.arrivedAt))
 }
 
-var eventEnd = []byte("\n\n")
-
-// completeEventsLen returns the length of the complete events at the start of the buffer.
-func completeEventsLen(buffer []byte) int {
-	if i := bytes.LastIndex(buffer, eventEnd); i >= 0 {
-		return i + len(eventEnd)
-	}
-	return 0
-}
-
-// lastEventID returns the last event ID in the events. It returns false if none of them has an ID.
-func lastEventID(events []byte) (string, bool) {
-	const field = "id:"
-	i := bytes.LastIndex(events, []byte("\n"+field))
-	switch {
-	case i >= 0:
-		i += 1 + len(field)
-	case bytes.HasPrefix(events, []byte(field)):
-		i = len(field)
-	default:
-		return "", false
-	}
-	line, _, _ := bytes.Cut(events[i:], []byte("\n"))
-	return string(bytes.TrimSpace(line)), true
-}
-
 // recordOutcome updates the endpoint's failure statistics. A rejection that says for how long is no failure.
 func (x *exchange) recordOutcome(e *endpoint, isFailure, isUnreachable bool) {
 	if isFailure && x.isRejected {
@@ -690,7 +664,7 @@
 	x.recordOutcome(e, true, false)
 	x.excluded[incarnation{id: e.ID, born: e.Born}] = true
 	x.logAttempt(e, "lost", reason)
-	if !x.route.IsIdempotent() || !x.hasAttemptsLeft() {
+	if !x.route.IsIdempotent() || !x.hasAttemptsLeft() || x.wroteHeader && x.lastEvent == "" {
 		return badGateway("endpoint-lost"), false
 	}
 	return nil, false
--- a/internal/forwarder/faulty_endpoint_test.go
+++ b/internal/forwarder/faulty_endpoint_test.go
@@ -1,8 +1,10 @@
 package forwarder_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -44,3 +46,43 @@
 		}
 	}
 }
+
+// TestFailedContinuationStaysOutOfTheStream guards against a stream that goes on with the text or the head of an error, or
+// that looks complete, because the endpoint at which it should go on answers with something else than its rest.
+func TestFailedContinuationStaysOutOfTheStream(t *testing.T) {
+	head := "HTTP/1.1 200 X\r\nId: id-/resume/\r\nSigned: 1\r\n"
+	for name, answer := range map[string]string{
+		"500":                    "HTTP/1.1 500 X\r\nId: id-/resume/\r\nContent-Length: 9\r\n\r\nid: 4\n\n!!",
+		"503":                    "HTTP/1.1 503 X\r\nId: id-/resume/\r\nContent-Length: 4\r\n\r\nfull",
+		"503 not run":            "HTTP/1.1 503 X\r\nId: id-/resume/\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull",
+		"404":                    "HTTP/1.1 404 X\r\nId: id-/resume/\r\nContent-Length: 4\r\n\r\nnone",
+		"206":                    "HTTP/1.1 206 X\r\nId: id-/resume/\r\nContent-Length: 20\r\n\r\nid: 4\ndata: piece-4\n",
+		"204":                    "HTTP/1.1 204 X\r\nId: id-/resume/\r\n\r\n",
+		"head cut":               "HTTP/1.1 200 X\r\nId: id-/resume/\r\nSig",
+		"no head":                "error: out of memory\n\n",
+		"nothing":                "",
+		"no events, unframed":    head + "\r\n",
+		"text, unframed":         head + "\r\nerror",
+		"text":                   head + "Content-Length: 5\r\n\r\nerror",
+		"text like an event":     head + "Content-Length: 13\r\n\r\ndata: error\n\n",
+		"text and a blank line":  head + "Content-Length: 8\r\n\r\nerror!\n\n",
+		"answer inside":          head + "Content-Length: 70\r\n\r\nHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nerrorid: 4\ndata: piece-4\n\n0123456789",
+		"begins anew":            head + "Content-Length: 120\r\n\r\n" + streamText(1, 6),
+		"begins anew, unframed":  head + "\r\n" + streamText(1, 6),
+		"repeats the last event": head + "Content-Length: 80\r\n\r\n" + streamText(3, 6),
+	} {
+		other := newEndpoint(t, "other", func(c net.Conn, _ *http.Request, _ int) bool {
+			_, _ = fmt.Fprint(c, answer)
+			return false
+		})
+		for try := 0; other.count() == 0; try++ {
+			assert.Assert(t, try < 50, "%s: no continuation was sent", name)
+			got := newFixture(t, newEndpoint(t, "breaking", breakStream), other).send(t, "/resume/", "")
+			if other.count() == 0 || got.status != 200 {
+				continue
+			}
+			assert.Check(t, got.err != nil || !strings.Contains(got.body, "piece"), "%s: the stream looks complete: %q", name, got.body)
+			assert.Check(t, strings.HasPrefix(streamText(1, 3), got.body), "%s: %q", name, got.body)
+		}
+	}
+}
