A resumed engine stream doesn't go on with events that have no ID

In the product's own home, events of a resumed stream that the sidecar has relayed are left out by their IDs. Such an event can't be placed, so it ends the attempt after a resumption, and a stream that had one before isn't resumed; the router then continues it at another endpoint by the text that was sent.

--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -248,9 +248,12 @@
 	out    *response
 	// lastEventID is the ID of the newest event relayed, 0 if the request may have reached the engine but no event has been
 	// relayed, and -1 before that.
-	lastEventID  int
-	started      bool
-	eventMatcher matcher.Matcher
+	lastEventID int
+	// isResumed is set once the stream goes on after lastEventID on a new connection, and isUnnumbered once an event without
+	// an ID has been relayed, so that the place to go on from isn't known.
+	isResumed, isUnnumbered bool
+	started                 bool
+	eventMatcher            matcher.Matcher
 	// lastError is the error that ended the last connection, for the failure message.
 	lastError error
 }
@@ -265,6 +268,10 @@
 
 // connect opens one connection and relays its events. again reports whether another connection should be tried.
 func (r *relayer) connect(ctx context.Context, path string, body []byte) (failure *wire.RunError, again bool) {
+	r.isResumed = r.lastEventID >= 0
+	if r.isResumed && r.isUnnumbered {
+		return r.fail(wire.RunErrorCodeEngineFailed, "the engine's stream broke off and can't be resumed, because its events have no IDs; retry the request"), false
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	headerTimer := time.AfterFunc(r.headerTimeout(), cancel)
@@ -372,6 +379,12 @@
 	if failure := r.validate(ev.data); failure != nil {
 		return failure, false
 	}
+	if ev.id == 0 {
+		if r.isResumed {
+			return r.fail(wire.RunErrorCodeEngineFailed, "the engine resumed the stream with an event without an ID; retry the request"), false
+		}
+		r.isUnnumbered = true
+	}
 	if r.header.Attempt > 1 {
 		// All attempts of a request must show the caller the same ID.
 		ev.data = bytes.Replace(ev.data, []byte(engineRequestID(r.header)), []byte(r.header.RequestID), 1)
--- a/internal/launcher/outcome_test.go
+++ b/internal/launcher/outcome_test.go
@@ -1,6 +1,7 @@
 package launcher_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -8,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"geraniumladder/internal/emulator"
 	"geraniumladder/internal/launcher"
 	"geraniumladder/internal/router"
 )
@@ -52,3 +54,53 @@
 	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable, text)
 	assert.Equal(t, resp.Header.Get(router.OutcomeHeader), "")
 }
+
+// TestFailedResumptionStaysOutOfTheStream guards against the text of an error, or events of a run that begins anew, in the
+// middle of a stream, and against one that looks complete, after an engine's stream broke off and its resumption fails.
+func TestFailedResumptionStaysOutOfTheStream(t *testing.T) {
+	t.Parallel()
+	const prompt, tokens = "draft", 8
+	want := emulator.GenerateText("accra-drafts@v1", prompt, tokens)
+	event := func(id, text string) string {
+		return `data: {"id":"cmpl-` + id + `","object":"text_completion","created":1,"model":"accra-drafts@v1","choices":[{"index":0,"text":"` + text + `","finish_reason":null,"logprobs":null}]}` + "\n\n"
+	}
+	answers := map[string]func(w http.ResponseWriter, id string){
+		"500":  func(w http.ResponseWriter, _ string) { http.Error(w, "out of memory", http.StatusInternalServerError) },
+		"text": func(w http.ResponseWriter, _ string) { _, _ = io.WriteString(w, "out of memory\n\n") },
+		"error event": func(w http.ResponseWriter, _ string) {
+			_, _ = io.WriteString(w, `data: {"error":{"message":"out of memory"}}`+"\n\ndata: [DONE]\n\n")
+		},
+		"nothing": func(http.ResponseWriter, string) {},
+		"event without an ID": func(w http.ResponseWriter, id string) {
+			_, _ = io.WriteString(w, event(id, " anew")+"data: [DONE]\n\n")
+		},
+		"head cut": func(w http.ResponseWriter, _ string) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			assert.NilError(t, err)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Ty")
+			_ = c.Close()
+		},
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleetWith(t, launcher.DemoConfig{WrapEngine: func(_ int, next http.Handler) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/v1/streams/") {
+						answer(w, strings.TrimPrefix(r.URL.Path, "/v1/streams/"))
+						return
+					}
+					if r.URL.Path == "/v1/completions" {
+						w = &truncatingWriter{w}
+					}
+					next.ServeHTTP(w, r)
+				})
+			}})
+			_, text := f.do("POST", f.announcement.Entries[0]+"/v1/completions", f.announcement.Keys["accra"], "", completionRequest("accra-drafts", prompt, tokens, true))
+			got, complete, _ := readStream(t, strings.NewReader(text), nil)
+			assert.Check(t, strings.HasPrefix(want, got), "%q", got)
+			assert.Check(t, !complete || got == want, "looks complete: %q", got)
+			assert.Check(t, !strings.Contains(text, "out of memory") || strings.Contains(text, `"outcome"`), text)
+		})
+	}
+}
