A copy of an earlier rejection doesn't close its endpoint again

A faulty endpoint can send a rejection once more in front of the next answer on the connection. If the copy names no request, the entry didn't take it for the answer, but believed what its header said: the endpoint was closed for as long again, requests were refused with 503 that it would have taken, and the lost attempt didn't count as its failure. Whether an answer belongs to the request was decided by ID and connection for the answer, and by the ID alone for its reports; it is decided once now.

TestCopyOfClosureDoesNotCloseAgain failed before (503 for 200) and passes, as do the tests of reports (one run).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -409,8 +409,9 @@
 			return nil, ResponseInfo{}, err
 		}
 		info := x.f.config.Translator.DecodeResponse(response)
-		x.recordReports(e, info)
-		if info.RequestID == x.call.ID || info.RequestID == "" && !conn.IsReused {
+		isOwn := info.RequestID == x.call.ID || info.RequestID == "" && !conn.IsReused
+		x.recordReports(e, info, isOwn)
+		if isOwn {
 			x.f.recordLimit(e, info)
 			return response, info, nil
 		}
--- a/internal/forwarder/faulty_endpoint_test.go
+++ b/internal/forwarder/faulty_endpoint_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -86,3 +87,23 @@
 		}
 	}
 }
+
+// TestCopyOfClosureDoesNotCloseAgain guards against an endpoint that is left out once more because it sends a copy of an
+// earlier rejection, which said for how long it wanted no requests then and names no request.
+func TestCopyOfClosureDoesNotCloseAgain(t *testing.T) {
+	const closure = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nClosed: 5\r\nContent-Length: 4\r\n\r\nfull"
+	a := newEndpoint(t, "a", func(c net.Conn, r *http.Request, n int) bool {
+		if n > 2 {
+			return ok(c, r, n)
+		}
+		_, err := fmt.Fprint(c, closure)
+		return err == nil && (n == 1 || ok(c, r, n))
+	})
+	f := newReportingFleet(t, nil, a)
+	assert.Equal(t, f.send(t, "/again/", "", "Id", "1").status, 503)
+	f.advance(5100 * time.Millisecond)
+	assert.Equal(t, f.send(t, "/again/", "", "Id", "2").status, 502)
+	assert.Equal(t, a.count(), 2)
+	f.advance(time.Second)
+	assert.Equal(t, f.send(t, "/again/", "", "Id", "3").status, 200, "the endpoint is left out")
+}
--- a/internal/forwarder/reports.go
+++ b/internal/forwarder/reports.go
@@ -125,9 +125,10 @@
 	r.state = r.state.WithoutExpired(func(key string) bool { return listed[key] }, r.elapsed())
 }
 
-// recordReports records what a response says of the endpoint that sent it. That may be another one at the address. A late
-// response to another request says nothing about the present, except that its sender is leaving.
-func (x *exchange) recordReports(e *endpoint, info ResponseInfo) {
+// recordReports records what a response says of the endpoint that sent it. That may be another one at the address. isOwn
+// means that the response belongs to the request: a late one to another request says nothing about the present, except that
+// its sender is leaving.
+func (x *exchange) recordReports(e *endpoint, info ResponseInfo, isOwn bool) {
 	r := x.f.reports
 	if info.Malformed != "" {
 		r.recordMalformed(e, info.Malformed, x.call.ID)
@@ -139,7 +140,7 @@
 	if responder == nil {
 		return
 	}
-	if info.HasClosed && (info.RequestID == x.call.ID || info.RequestID == "") {
+	if info.HasClosed && isOwn {
 		x.isRejected = true
 		r.recordClosure(responder, info.Closed, x.call.ID)
 	}
