--- /dev/null
+++ b/internal/dispatcher/faulty_service_test.go
@@ -0,0 +1,85 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"geraniumladder/internal/dispatcher"
+)
+
+// startRawService starts a service whose answers are written to the connection as they are.
+func startRawService(t *testing.T, answer func(c net.Conn, r *http.Request)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				if r, err := http.ReadRequest(reader); err == nil {
+					answer(c, r)
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// TestEarlierRefusalOfServiceIsNotTakenForTheNextAnswer guards against a refusal that a service writes once more on a kept
+// connection and that is taken for the answer to the next call, which runs.
+func TestEarlierRefusalOfServiceIsNotTakenForTheNextAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfull"
+	var calls atomic.Int64
+	d, client, address := startSidecar(t, startRawService(t, func(c net.Conn, _ *http.Request) {
+		if calls.Add(1)%2 == 1 {
+			_, _ = io.WriteString(c, refusal+refusal)
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+	}))
+	for n, want := range []int{503, 200, 503, 200} {
+		resp, err := runAs(t, d, client, address, fmt.Sprint("r", n))
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, want)
+	}
+}
+
+// TestServiceAnswerCutInItsHeadIsNoAnswer guards against an answer that ends inside its head, or inside its framed body, and
+// that the sidecar passes on as a whole one.
+func TestServiceAnswerCutInItsHeadIsNoAnswer(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\ndone",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	} {
+		var sent atomic.Int64
+		d, client, address := startSidecar(t, startRawService(t, func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, answer[:sent.Load()])
+		}))
+		for n := range len(answer) {
+			sent.Store(int64(n))
+			resp, err := runAs(t, d, client, address, fmt.Sprint("r", n))
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.NilError(t, resp.Body.Close())
+			isWhole := err == nil && resp.Trailer.Get(dispatcher.EndTrailer) != ""
+			assert.Assert(t, !isWhole, "cut after %q: status %d", answer[:n], resp.StatusCode)
+		}
+	}
+}
--- a/internal/forwarder/faulty_endpoint_test.go
+++ b/internal/forwarder/faulty_endpoint_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -88,6 +89,80 @@
 	}
 }
 
+// TestEarlierRefusalIsNotTakenForTheNextAnswer guards against a refusal that an endpoint writes once more on a kept
+// connection: taken for the answer to the next request, that one would be called not run, or run again elsewhere.
+func TestEarlierRefusalIsNotTakenForTheNextAnswer(t *testing.T) {
+	for _, hasID := range []bool{true, false} {
+		for _, delay := range []time.Duration{0, 5 * time.Millisecond} {
+			for _, path := range []string{"/once/", "/stream/", "/again/"} {
+				var mu sync.Mutex
+				runs, refusals := map[string]int{}, map[net.Conn]string{}
+				handler := func(c net.Conn, r *http.Request, _ int) bool {
+					mu.Lock()
+					refusal := refusals[c]
+					if refusal == "" {
+						id := ""
+						if hasID {
+							id = "Id: " + r.Header.Get("Id") + "\r\n"
+						}
+						refusal = "HTTP/1.1 503 X\r\n" + id + "Not-Run: 1\r\nClosed: 5\r\nContent-Length: 4\r\n\r\nfull"
+						refusals[c] = refusal
+						mu.Unlock()
+						_, err := fmt.Fprint(c, refusal)
+						return err == nil
+					}
+					runs[r.Header.Get("Id")]++
+					mu.Unlock()
+					time.Sleep(delay)
+					_, err := fmt.Fprint(c, refusal)
+					time.Sleep(delay)
+					return err == nil && respond(c, r, 200, "", streamText(1, 1))
+				}
+				f := newFixture(t, newEndpoint(t, "a", handler), newEndpoint(t, "b", handler))
+				reached := 0
+				for n := range 12 {
+					id := fmt.Sprint(n)
+					got := f.send(t, path, "", "Id", id)
+					mu.Lock()
+					ran := runs[id]
+					mu.Unlock()
+					reached += ran
+					assert.Assert(t, ran == 0 || !isPromise(got.status), "request %d to %s ran and got %v", n, path, got)
+					assert.Assert(t, ran <= 1 || path == "/again/", "request %d to %s ran %d times", n, path, ran)
+					assert.Assert(t, got.status != 200 || got.body == streamText(1, 1))
+				}
+				assert.Assert(t, reached >= 3, "only %d requests ran", reached)
+			}
+		}
+	}
+}
+
+// TestAnswerCutInItsHeadIsNoAnswer guards against an answer that ends inside its head, or inside its framed body, and
+// reaches the caller as a whole one.
+func TestAnswerCutInItsHeadIsNoAnswer(t *testing.T) {
+	body := streamText(1, 1)
+	for framing, rest := range map[string]string{
+		"length":   fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks":   fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"unframed": "Keep-Alive: timeout=5\r\n\r\n",
+	} {
+		for _, path := range []string{"/once/", "/stream/", "/resume/"} {
+			answer := "HTTP/1.1 200 OK\r\nId: id-" + path + "\r\nSigned: 1\r\n" + rest
+			sent := 0
+			e := newEndpoint(t, "e", func(c net.Conn, _ *http.Request, _ int) bool {
+				_, _ = fmt.Fprint(c, answer[:sent])
+				return false
+			})
+			for sent = range len(answer) {
+				// A new entry, because the endpoint's failures count.
+				got := newFixture(t, e).send(t, path, "")
+				isCut := got.status == 502 || got.err != nil
+				assert.Assert(t, isCut, "%s to %s cut after %q: %v", framing, path, answer[:sent], got)
+			}
+		}
+	}
+}
+
 // TestCopyOfClosureDoesNotCloseAgain guards against an endpoint that is left out once more because it sends a copy of an
 // earlier rejection, which said for how long it wanted no requests then and names no request.
 func TestCopyOfClosureDoesNotCloseAgain(t *testing.T) {
