Each run of an engine has its own fencing token

An order without an answer was held up for 11 s, its engine crashed, started again under the same ID and was filled; then the order's expected number, target and token were right once more, and the engine accepted it at 23.168 s and crashed. The sidecar gave no order at that time.

The expected number holds within one run only, and the token was taken once for the sidecar's process.

The tests of orderer (race detector) and platform pass.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -52,8 +52,8 @@
 	// reportTimeout bounds a read of the engine's report. The engine is on the same VM.
 	reportTimeout = 400 * time.Millisecond
 	// orderTimeout bounds an order. The engine is on the same VM and answers within milliseconds. If it takes longer, it
-	// may execute the order late. This is harmless, because the engine refuses an order that arrives after a later one
-	// (Order.Expected).
+	// may execute the order late. Within a run of the engine this is harmless, because the engine refuses an order that
+	// arrives after a later one (Order.Expected); runs.go has the guard for later runs.
 	orderTimeout = 80 * time.Millisecond
 	// downThreshold is the number of consecutive failed reports after which the engine is considered down.
 	downThreshold = 2
@@ -144,8 +144,11 @@
 	ReserveLoad func(ctx context.Context) (bool, error)
 	// IsEvacuated reports whether the engine's failure domain is evacuated. No order is sent while it is.
 	IsEvacuated func() bool
-	// NewFencingToken returns a fencing token that is higher than all earlier ones.
+	// NewFencingToken returns a fencing token. It and the next FencingTokenRange-1 tokens are higher than all earlier ones and
+	// are this process's own.
 	NewFencingToken func(ctx context.Context) (int64, error)
+	// IgnoresFencing is set if the engine takes orders with any fencing token.
+	IgnoresFencing bool
 	// ObserveLoad records a finished load, with the result "ok" or "failed" and the time since the order.
 	ObserveLoad func(result string, took time.Duration)
 	// SendState sends the engine's state to the entries.
@@ -211,6 +214,7 @@
 	// The fields below are accessed only by Run and need no lock.
 	fencingToken     int64
 	lastFenceAttempt time.Time
+	runs             engineRuns
 	failedReports    int
 	// pendingLoads maps the loads in progress to the times of their orders.
 	pendingLoads map[Adapter]time.Time
@@ -241,12 +245,17 @@
 
 // New returns an Orderer without any demand. Run starts it.
 func New(c Config) *Orderer {
-	return &Orderer{
+	o := &Orderer{
 		config: c, wake: make(chan struct{}, 1), entries: map[string]entryDemand{},
 		requestCounts: map[string]map[Adapter]int{}, weights: map[Adapter]weight{}, waitingSince: map[Adapter]time.Time{},
 		pendingLoads: map[Adapter]time.Time{}, pacing: newPacing(c.Now()),
 		multicaster: multicaster.New(multicaster.Config{Domain: c.Domain}), rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)),
 	}
+	if c.IgnoresFencing {
+		// Orders of an earlier process may still be on their way.
+		o.runs.holdUntil = c.Now().Add(maxOrderDelay)
+	}
+	return o
 }
 
 // SetDemand replaces an entry's demand. from is the source address of its datagrams, to which the state is sent.
@@ -433,7 +442,11 @@
 func (o *Orderer) report(ctx context.Context) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return o.config.Engine.Report(ctx)
+	report, err := o.config.Engine.Report(ctx)
+	if err == nil {
+		o.observeRun(report)
+	}
+	return report, err
 }
 
 func (o *Orderer) handleReportFailure(err error, recipients []multicaster.Member) {
@@ -459,7 +472,7 @@
 	sent := false
 	for range maxConcurrentLoads {
 		capacity := o.config.Capacity()
-		if capacity == nil || report.IsBusy || o.config.IsEvacuated() {
+		if capacity == nil || report.IsBusy || o.config.IsEvacuated() || o.config.Now().Before(o.runs.holdUntil) {
 			return sent
 		}
 		step, ok := Plan(Holdings{
@@ -494,6 +507,7 @@
 		Bool("Load", step.IsLoad).Int("Models", len(report.Models)).Int("Held", len(report.Resident)).Int("Coming", len(report.Loading)).Int64("Expected", report.Sequence).Int64("Fence", o.fencingToken).Stringer("Result", result).
 		Int("Waiting", d.Waiting).Float64("Weight", d.Weight).AnErr("Error", err).Msg("orderer: order given")
 	if err != nil {
+		o.runs.unansweredAt = o.config.Now()
 		return false
 	}
 	switch result {
@@ -573,7 +587,7 @@
 		}
 		return false
 	}
-	o.fencingToken = fencingToken
+	o.fencingToken, o.runs.tokensLeft = fencingToken, FencingTokenRange-1
 	o.config.Log.Info().Int64("Fence", fencingToken).Msg("orderer: fencing token obtained")
 	return true
 }
--- a/internal/resident/sidecar.go
+++ b/internal/resident/sidecar.go
@@ -42,8 +42,9 @@
 	MetricsAddress, MetricsPath string
 	Platform                    SidecarPlatform
 	Engine                      orderer.Engine
-	// NewFencingToken returns a fencing token greater than all earlier ones of the VM.
+	// NewFencingToken and IgnoresFencing are those of orderer.Config.
 	NewFencingToken func(ctx context.Context) (int64, error)
+	IgnoresFencing  bool
 	Tuning          Tuning
 	Reload          Reload
 	Log             zerolog.Logger
@@ -89,7 +90,7 @@
 	s.orderer = orderer.New(orderer.Config{
 		VM: c.VM, Domain: c.Domain, Address: c.EngineAddress, Engine: c.Engine, Capacity: s.capacity.Load,
 		IsEvacuated: func() bool { return s.evacuation.Load().isEvacuated(c.Domain) },
-		ReserveLoad: s.acquireLoadPermit, NewFencingToken: c.NewFencingToken, ObserveLoad: instruments.Load, SendState: s.sendState,
+		ReserveLoad: s.acquireLoadPermit, NewFencingToken: c.NewFencingToken, IgnoresFencing: c.IgnoresFencing, ObserveLoad: instruments.Load, SendState: s.sendState,
 		Now: time.Now, Seed: rand.Uint64(), Log: c.Log,
 	})
 	if err := instruments.Gauge("geraniumladder.pace.limit", "{request}", "Requests that may be in progress at the paced engine; -1 while it isn't paced.", func() float64 {
