A silent sidecar is no silent endpoint

The entries judged an endpoint by its sidecar's datagrams alone.

Before an attempt at such an endpoint is given up, the entry asks the endpoint itself for its report: as soon as the sidecar is overdue and an attempt has been quiet for 250 ms, so that the result is there when the attempt would be given up.

--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -66,6 +66,8 @@
 	// heartbeats records the sidecar's reports as heartbeats, and liveness is the result of the last liveness check.
 	heartbeats detector.Heartbeats
 	liveness   detector.Liveness
+	// probes are those of the endpoint itself, made while its sidecar is overdue.
+	probes detector.Probes
 	// isSuperseded means that a newer incarnation has the address, so this one has ended. Its registration may still
 	// exist.
 	isSuperseded bool
@@ -139,7 +141,10 @@
 	now      func() time.Time
 	detector detector.Config
 	// checkedAt is the time of the last liveness check; zero before the first.
-	checkedAt     time.Time
+	checkedAt time.Time
+	// isProbed is set if endpoints can be probed, and probing is the number of probes in progress.
+	isProbed      bool
+	probing       int
 	byIncarnation map[incarnation]*endpoint
 	byService     map[string][]*endpoint
 	byAddress     map[string]*endpoint
@@ -173,7 +178,7 @@
 // newFleet returns a view without endpoints.
 func newFleet(c *Config, r *reports) *fleet {
 	return &fleet{
-		start: c.Now(), vm: c.VM, log: c.Log, demandOf: map[string]*serviceDemand{}, mostlyPaced: map[string]bool{}, rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>2)),
+		isProbed: c.Probe != nil, start: c.Now(), vm: c.VM, log: c.Log, demandOf: map[string]*serviceDemand{}, mostlyPaced: map[string]bool{}, rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>2)),
 		shares: throttler.New[string](throttler.Config{MaxUsers: pacer.FallbackUsers}, c.VM, 0),
 		domain: c.Domain, now: c.Now, detector: detector.Config{}.WithDefaults(), byIncarnation: map[incarnation]*endpoint{}, byService: map[string][]*endpoint{},
 		byAddress: map[string]*endpoint{}, versions: map[registrar.AdapterKey]int64{}, reports: r,
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -84,6 +84,9 @@
 	Observer   Observer
 	// Demand is called when a request needs an adapter at the endpoint, so that the demand is sent to its sidecar at once.
 	Demand func(address string)
+	// Probe asks the endpoint at the address itself whether it is at work, and returns the start of its run, or 0 if it
+	// doesn't say. If it is nil, an endpoint whose sidecar is silent counts as silent.
+	Probe func(ctx context.Context, address string) (born int64, err error)
 	// Retry configures the retry budget of each service. Its Constant is divided among the entries, and its Window must
 	// be positive.
 	Retry retrier.Config
@@ -129,6 +132,8 @@
 	ended  context.Context
 	end    context.CancelFunc
 	open   atomic.Int64
+	// probeEnds receives the ends of the probes in progress.
+	probeEnds chan probeResult
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retryBudget
@@ -163,7 +168,7 @@
 		config: c, fleet: newFleet(&c, r), start: elapsed.start, retryBudgets: map[string]*retryBudget{},
 		quarantine: newQuarantine(elapsed, c.Log), throttle: newThrottle(c.VM, elapsed, c.Log), reports: r,
 		rng: rand.New(rand.NewPCG(c.Seed, c.Seed>>1)), shedder: shedder.New(shedder.Config{}),
-		admission: admission{states: map[string]arbiter.State{}},
+		admission: admission{states: map[string]arbiter.State{}}, probeEnds: make(chan probeResult, maxProbes),
 	}
 	f.ended, f.end = context.WithCancel(context.Background())
 	f.SetRetry(c.Retry)
--- a/internal/forwarder/liveness.go
+++ b/internal/forwarder/liveness.go
@@ -12,9 +12,8 @@
 // CheckLiveness detects.
 const LivenessInterval = 50 * time.Millisecond
 
-// abandonAfterIdle is the time without received bytes after which an attempt at a silent endpoint is abandoned. If only
-// the sidecar has stopped, the bytes from the engine keep the attempt alive. The value is twice the gap between events
-// that users consider late.
+// abandonAfterIdle is the time without received bytes after which an attempt at a silent endpoint is abandoned. The value is
+// twice the gap between events that users consider late.
 const abandonAfterIdle = 600 * time.Millisecond
 
 // attempt is one request in progress at an endpoint.
@@ -92,12 +91,14 @@
 	idle     time.Duration
 }
 
-// CheckLiveness detects endpoints whose sidecars have become silent, such as those on a stopped or partitioned VM, and
-// abandons attempts there that can be retried at another endpoint. It also reports the endpoints that have ended. It must
-// be called at LivenessInterval.
+// CheckLiveness detects endpoints whose sidecars have become silent. If such an endpoint doesn't answer a probe either, as
+// on a stopped or partitioned VM, it abandons the attempts there that can be retried at another endpoint. It also reports
+// the endpoints that have ended. It must be called at LivenessInterval.
 func (f *Forwarder) CheckLiveness() {
 	f.reportCrashes()
-	changes, stalled := f.fleet.checkLiveness(f.config.Now())
+	f.collectProbes()
+	changes, stalled, probes := f.fleet.checkLiveness(f.config.Now())
+	f.startProbes(probes)
 	for _, c := range changes {
 		f.config.Log.Info().Str("Endpoint", c.endpoint).Stringer("Was", c.previous).Stringer("Is", c.current).Dur("Silence", c.silence).
 			Msg("forwarder: endpoint's standing changed")
@@ -113,8 +114,9 @@
 	}
 }
 
-// checkLiveness updates the liveness of all endpoints and returns the changes and the attempts to abandon.
-func (f *fleet) checkLiveness(now time.Time) ([]livenessChange, []stalledAttempt) {
+// checkLiveness updates the liveness of all endpoints and returns the changes, the attempts to abandon and the endpoints to
+// probe.
+func (f *fleet) checkLiveness(now time.Time) ([]livenessChange, []stalledAttempt, []endpointProbe) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// A late check means that this process was suspended and could not receive heartbeats either.
@@ -126,17 +128,21 @@
 	f.checkedAt = now
 	f.updateMostlyPaced(now)
 	changes, known, silent := f.updateLiveness(now)
-	if silent == 0 || 2*silent > known {
+	if 2*silent > known {
 		// If most endpoints are silent, the fault is more likely near this entry than at each endpoint.
-		return changes, nil
+		return changes, nil, nil
+	}
+	var probes []endpointProbe
+	if f.isProbed {
+		probes = f.dueProbes(now)
 	}
 	var stalled []stalledAttempt
 	for _, e := range f.byIncarnation {
-		if e.liveness == detector.Silent {
-			stalled = append(stalled, f.stalledAttempts(e, now)...)
+		if e.liveness == detector.Silent && (!f.isProbed || e.probes.IsUnreachable(now)) {
+			stalled = append(stalled, f.stalledAttempts(e, now, abandonAfterIdle)...)
 		}
 	}
-	return changes, stalled
+	return changes, stalled, probes
 }
 
 // updateLiveness updates the liveness of all endpoints. It counts those from which heartbeats have been received
@@ -159,12 +165,12 @@
 	return changes, known, silent
 }
 
-// stalledAttempts returns the attempts that receive no bytes and can be retried at another endpoint.
-func (f *fleet) stalledAttempts(e *endpoint, now time.Time) []stalledAttempt {
+// stalledAttempts returns the attempts that have received no bytes for the time and can be retried at another endpoint.
+func (f *fleet) stalledAttempts(e *endpoint, now time.Time, idleFor time.Duration) []stalledAttempt {
 	var list []stalledAttempt
 	for a := range e.attempts {
 		idle := a.idle(now)
-		if !a.isRetryable || a.isAbandoned.Load() || idle < abandonAfterIdle || a.callerDeadline.Sub(now) < minRemaining || !f.hasAlternative(e, a.homes) {
+		if !a.isRetryable || a.isAbandoned.Load() || idle < idleFor || a.callerDeadline.Sub(now) < minRemaining || !f.hasAlternative(e, a.homes) {
 			continue
 		}
 		list = append(list, stalledAttempt{attempt: a, endpoint: e.ID, idle: idle})
--- a/internal/orderer/runs_test.go
+++ b/internal/orderer/runs_test.go
@@ -99,7 +99,9 @@
 	go func() { end <- o.Run(ctx) }()
 	return o, func() {
 		cancel()
-		<-end
+		if err := <-end; !errors.Is(err, context.Canceled) {
+			panic(err)
+		}
 	}
 }
 
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -114,9 +114,11 @@
 	PeerPort    int
 	Platform    Platform
 	Translator  forwarder.Translator
-	Tuning      Tuning
-	Reload      Reload
-	Log         zerolog.Logger
+	// Probe is that of forwarder.Config.
+	Probe  func(ctx context.Context, address string) (born int64, err error)
+	Tuning Tuning
+	Reload Reload
+	Log    zerolog.Logger
 }
 
 // Entry is the process that serves callers.
@@ -172,7 +174,7 @@
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
 		VM: c.VM, Domain: c.Domain, Regions: c.Regions, Translator: c.Translator, Pool: connector.New(connector.Config{}),
-		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Retry: c.Tuning.Retry, EntryCount: e.sharer.EntryCount, Members: e.sharer.Members,
+		Admitter: e.sharer, Observer: instruments, Demand: e.sendDemand, Probe: c.Probe, Retry: c.Tuning.Retry, EntryCount: e.sharer.EntryCount, Members: e.sharer.Members,
 		AnswerMemory: answerMemory(c.Tuning), Now: time.Now, Seed: uint64(time.Now().UnixNano()), Log: c.Log, OnEvidence: func() { //nolint:forbidigo // A seed.
 			e.hasNewEvidence.Store(true)
 			e.sharer.RequestMessage()
