--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -39,6 +39,8 @@
 	// DecodeOperators logs rows that can't be decoded.
 	DecodeOperators(t registrar.Table, log zerolog.Logger) registrar.Operators
 	DecodeEndpoints(t registrar.Table, log zerolog.Logger) []registrar.Endpoint
+	// InvalidRows returns the number of versions of rows that couldn't be decoded.
+	InvalidRows() int64
 }
 
 const (
@@ -188,6 +190,11 @@
 	}); err != nil {
 		return nil, err
 	}
+	if err := instruments.Gauge("geraniumladder.invalid.rows", "{row}", "Versions of rows in the platform's tables that can't be decoded and are ignored.", func() float64 {
+		return float64(c.Platform.InvalidRows())
+	}); err != nil {
+		return nil, err
+	}
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: operatorsWait(c.Tuning), RepeatAfter: readRepeatTime,
 		OnChange: e.setOperators, Now: time.Now, Log: c.Log,
