A success without the endpoint's signature counts as a lost answer

Such an answer now counts as lost on routes of every kind, once it brings content: the request may have run, so it goes on elsewhere only if it may be repeated, and ends with 502 otherwise. It continues no stream. A first form gave it up at its head; that hid crashes of endpoints that end after the head, and TestDeadlyPartIsBlockedAtAllEntries failed each time (traced, passes now).

TestUnsignedSuccessIsNoAnswer failed before (200 for 502) and passes, as do the tests of forwarder and the two of deadly parts (one run).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -366,14 +366,21 @@
 		return x.handleNotRun(ctx, e, info, response.StatusCode)
 	}
 	x.mayHaveRun, x.hasBegun = true, true
+	isUnsigned := info.IsUnsigned && response.StatusCode < http.StatusMultipleChoices
 	if x.route.Kind == registrar.Stream && response.StatusCode == http.StatusOK {
 		release := func() bool {
 			reuse = stop()
 			return reuse
 		}
-		return x.relay(ctx, e, a, response, release, prefillDone)
+		r := &relayer{
+			x: x, e: e, a: a, response: response, isUnsigned: isUnsigned, buffer: make([]byte, 0, streamBufferSize), onFirstEvent: prefillDone,
+		}
+		return r.relay(ctx, release)
 	}
 	body, err := x.readAnswer(response)
+	if err == nil && isUnsigned {
+		err = errUnsigned
+	}
 	if err != nil {
 		return x.handleLost(ctx, e, "body", err)
 	}
@@ -399,6 +406,8 @@
 	return d
 }
 
+var errUnsigned = errors.New("the success lacks the endpoint's signature; another program may have the address")
+
 // readResponse reads the header of the response that belongs to the request. Responses to earlier requests, which a
 // faulty endpoint may send late or twice, are discarded. One without an ID may be such a response unless the connection
 // has carried this request only.
@@ -497,6 +506,9 @@
 	e        *endpoint
 	a        *attempt
 	response *http.Response
+	// isUnsigned means that the response lacks the endpoint's signature, so that nothing of it may be forwarded. It is read
+	// up to the first event all the same, because an earlier end shows that the endpoint has ended.
+	isUnsigned bool
 	// buffer holds received bytes that don't form a complete event yet.
 	buffer []byte
 	// onFirstEvent is called at the first event, which shows that the engine has finished the prefill.
@@ -504,17 +516,18 @@
 	pauses       pauseTimer
 }
 
-// relay forwards the stream until it ends or the connection fails.
-func (x *exchange) relay(ctx context.Context, e *endpoint, a *attempt, response *http.Response, release func() bool, onFirstEvent func()) (*Refusal, bool) {
-	r := &relayer{
-		x: x, e: e, a: a, response: response, buffer: make([]byte, 0, streamBufferSize), onFirstEvent: onFirstEvent,
-	}
+// relay forwards the stream until it ends or the connection fails. release reports whether the connection may be used
+// again.
+func (r *relayer) relay(ctx context.Context, release func() bool) (*Refusal, bool) {
+	x, response := r.x, r.response
 	for {
 		err := r.next()
 		switch {
+		case errors.Is(err, io.EOF) && r.isUnsigned && isFramed(response):
+			return x.handleLost(ctx, r.e, "stream", errUnsigned)
 		case errors.Is(err, io.EOF) && len(r.buffer) == 0 && (x.attemptEvents > 0 || isFramed(response)):
 			if release() {
-				a.conn.Release(response)
+				r.a.conn.Release(response)
 			}
 			x.recordAnswered(true)
 			x.limitWrite(x.f.config.StreamStall)
@@ -523,12 +536,12 @@
 			x.logOutcome("answered", response.StatusCode)
 			return nil, true
 		case errors.Is(err, io.EOF):
-			return x.handleLost(ctx, e, "stream", io.ErrUnexpectedEOF)
+			return x.handleLost(ctx, r.e, "stream", io.ErrUnexpectedEOF)
 		case errors.Is(err, errCallerDisconnected):
 			x.recordDeparture(err, response.StatusCode)
 			panic(http.ErrAbortHandler)
 		case err != nil:
-			return x.handleLost(ctx, e, "stream", err)
+			return x.handleLost(ctx, r.e, "stream", err)
 		}
 	}
 }
@@ -557,6 +570,9 @@
 	r.buffer = r.buffer[:len(r.buffer)+n]
 	r.pauses.waited += r.x.f.config.Now().Sub(readAt)
 	if end := completeEventsLen(r.buffer); end > 0 {
+		if r.isUnsigned {
+			return errUnsigned
+		}
 		if r.x.wroteHeader && r.x.attemptEvents == 0 && !continues(r.buffer[:end], r.x.lastEvent) {
 			return errNoContinuation
 		}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -69,6 +69,8 @@
 	IsNotRun bool
 	// IsMisdirected means that another endpoint has the address, or that the endpoint lacks the adapter or its version.
 	IsMisdirected bool
+	// IsUnsigned means that the response lacks the signature that endpoints give every answer of theirs.
+	IsUnsigned bool
 	// EndpointID identifies the endpoint that responded; empty if the response doesn't name it.
 	EndpointID string
 	// RequestLimit is the number of requests a second that the endpoint takes from all entries together, if HasLimit is
--- a/internal/forwarder/faulty_endpoint_test.go
+++ b/internal/forwarder/faulty_endpoint_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"geraniumladder/internal/registrar"
 )
 
 // isPromise reports whether callers take the status for a guarantee that the request has not run and will not run.
@@ -182,3 +184,32 @@
 	f.advance(time.Second)
 	assert.Equal(t, f.send(t, "/again/", "", "Id", "3").status, 200, "the endpoint is left out")
 }
+
+// TestUnsignedSuccessIsNoAnswer guards against a success without the endpoint's signature that reaches the caller, whole or
+// as a part of a stream. The request may have run.
+func TestUnsignedSuccessIsNoAnswer(t *testing.T) {
+	for _, status := range []int{200, 201, 204} {
+		for _, path := range []string{"/once/", "/again/", "/stream/", "/resume/"} {
+			foreign := newEndpoint(t, "foreign", func(c net.Conn, r *http.Request, _ int) bool {
+				return respond(c, r, status, "Unsigned: 1\r\n", streamText(1, 1))
+			})
+			f := newFixture(t, foreign)
+			got := f.send(t, path, "")
+			assert.Equal(t, got.status, 502, "%d to %s", status, path)
+			f.SetEndpoints([]registrar.Endpoint{foreign.registered("s"), newEndpoint(t, "sound", ok).registered("s")})
+			if path == "/again/" {
+				assert.Equal(t, f.send(t, path, "").body, "done")
+			}
+		}
+	}
+	foreign := newEndpoint(t, "foreign", func(c net.Conn, r *http.Request, _ int) bool {
+		return respond(c, r, 200, "Unsigned: 1\r\n", streamText(4, 6))
+	})
+	for range 6 {
+		got := newFixture(t, newEndpoint(t, "breaking", breakStream), foreign).send(t, "/resume/", "")
+		assert.Assert(t, got.err != nil && strings.HasPrefix(streamText(1, 3), got.body) || got.status == 502, "%v", got)
+	}
+	// An error needs no signature: it is the status that callers act on.
+	failing := newEndpoint(t, "failing", func(c net.Conn, r *http.Request, _ int) bool { return respond(c, r, 500, "Unsigned: 1\r\n", "") })
+	assert.Equal(t, newFixture(t, failing).send(t, "/once/", "").status, 500)
+}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -59,7 +59,7 @@
 func (translator) DecodeResponse(r *http.Response) forwarder.ResponseInfo {
 	return forwarder.ResponseInfo{
 		RequestID: r.Header.Get("Id"), IsNotRun: r.Header.Get("Not-Run") != "" || r.StatusCode == 421, IsMisdirected: r.StatusCode == 421,
-		EndpointID: r.Header.Get("Answerer"),
+		EndpointID: r.Header.Get("Answerer"), IsUnsigned: r.Header.Get("Unsigned") != "",
 	}
 }
 
