A late answer of an earlier closure doesn't end the present one

TestReportsAreHeeded failed on untouched code: three requests reached an endpoint in a closure, at most two may. A request of an earlier closure was answered late and said that the endpoint reopens soon; the answer received last counted.

A closure is kept with the time at which the request that it answers was sent. An answer to an earlier request can't shorten the closure in force. Entry, sidecar and router pass that time; the package is shared by both homes. WithClosure takes it as a further argument, which the tests' calls name as the time of the send.

--- a/internal/dispatcher/endpointreport.go
+++ b/internal/dispatcher/endpointreport.go
@@ -56,7 +56,7 @@
 	now := d.elapsed()
 	if report.HasClosed {
 		before := d.closedFor()
-		d.reports = d.reports.WithClosure(d.endpointRun, report.Closed, now)
+		d.reports = d.reports.WithClosure(d.endpointRun, report.Closed, sentAt, now)
 		d.config.Meter.EndpointReport("closed")
 		if (before > 0) != (d.closedFor() > 0) {
 			d.log.Info().Str("Request", request).Dur("For", d.closedFor()).Dur("Stated", report.Closed).Dur("Was", before).
--- a/internal/forwarder/reports.go
+++ b/internal/forwarder/reports.go
@@ -69,14 +69,14 @@
 	return isNew
 }
 
-// recordClosure records that the endpoint wants no requests for the span. A closure that an earlier response has named
+// recordClosure records that the endpoint wants no requests for the span, as it answered to a request sent at askedAt. A closure that an earlier response has named
 // already is not logged.
-func (r *reports) recordClosure(e *endpoint, span time.Duration, request string) {
+func (r *reports) recordClosure(e *endpoint, span time.Duration, request string, askedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.elapsed()
 	wasOpen, before := r.state.Availability(e.key, now)
-	r.state = r.state.WithClosure(e.key, span, now)
+	r.state = r.state.WithClosure(e.key, span, askedAt.Sub(r.start), now)
 	isOpen, after := r.state.Availability(e.key, now)
 	r.observer.EndpointReport(reportClosed)
 	if wasOpen != isOpen || math.Abs(float64(after-before)) > significantChange*float64(after) {
@@ -142,7 +142,7 @@
 	}
 	if info.HasClosed && isOwn {
 		x.isRejected = true
-		r.recordClosure(responder, info.Closed, x.call.ID)
+		r.recordClosure(responder, info.Closed, x.call.ID, x.sentAt)
 	}
 	isNew := info.IsLeaving && r.recordLeaving(responder.key, r.elapsed(), responder.Born != 0, x.call.ID, "response")
 	if isNew && x.f.config.OnEvidence != nil {
--- a/internal/router/closures.go
+++ b/internal/router/closures.go
@@ -12,7 +12,8 @@
 
 // recordClosure records that an endpoint wants no requests for a while, and returns a failure if all want none. The sidecar
 // rejects them until then; without them, neither its time nor the retry budget is spent on rejections.
-func (r *Router) recordClosure(cl *call, e placer.Endpoint, rejection wire.RunError) *callError {
+func (r *Router) recordClosure(cl *call, d dispatch, rejection wire.RunError) *callError {
+	e := d.endpoint
 	if rejection.RetryAfterMs == nil {
 		return nil
 	}
@@ -21,7 +22,7 @@
 	defer r.mu.Unlock()
 	now := r.elapsed()
 	wasOpen, _ := r.reports.Availability(closureKey(e), now)
-	r.reports = r.reports.WithClosure(closureKey(e), span, now)
+	r.reports = r.reports.WithClosure(closureKey(e), span, d.sentAt, now)
 	r.config.Meter.EndpointReport("closed")
 	if isOpen, after := r.reports.Availability(closureKey(e), now); wasOpen != isOpen {
 		r.log.Info().Str("Request", cl.id).Str("Endpoint", closureKey(e)).Dur("For", after).Dur("Stated", span).Str("Source", "rejection").
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -59,6 +59,8 @@
 	runID string
 	// bytes is the number of body bytes processed, at which a join on a new connection continues.
 	bytes int64
+	// sentAt is when the request was sent, on the router's clock.
+	sentAt time.Duration
 }
 
 // runKey identifies the run at the sidecar.
@@ -244,7 +246,7 @@
 			h.excluded = append(h.excluded, d.endpoint.VM)
 			return r.sleep(ctx, correctionDelay)
 		case wire.RunErrorCodeClosed:
-			if failure := r.recordClosure(cl, d.endpoint, *res.runError); failure != nil {
+			if failure := r.recordClosure(cl, d, *res.runError); failure != nil {
 				return failure
 			}
 		case wire.RunErrorCodeLoadFailed:
@@ -399,6 +401,7 @@
 	if r.isEvacuated(d) {
 		return nil, evacuatedResult()
 	}
+	d.sentAt = r.elapsed()
 	return r.openResponse(req, id, d.endpoint.Address)
 }
 
--- a/pkg/attester/attester.go
+++ b/pkg/attester/attester.go
@@ -6,7 +6,7 @@
 // with the endpoint; one that takes the rejections for failures avoids the endpoint longer than it asked for.
 //
 // An endpoint that leaves stays unusable: only another incarnation, which has another key, is usable again. A closure ends
-// by itself, and the newest one counts.
+// by itself, and the one that answers the newest request counts.
 //
 // The package has no clock, no goroutines and uses no store. Times are on the owner's monotonic clock.
 package attester
@@ -46,8 +46,9 @@
 	// isShared means that the other processes are told. What they have told isn't passed on, because its age grows inexact
 	// on the way.
 	isShared bool
-	// closedUntil is the end of the closure that was reported last; 0 if there was none.
-	closedUntil time.Duration
+	// closedUntil is the end of the closure that was reported last, in the response to a request sent at closureAskedAt; 0 if
+	// there was none.
+	closedUntil, closureAskedAt time.Duration
 }
 
 // Attester is one process's view of the reports. It is an immutable value. K identifies an incarnation of an endpoint.
@@ -82,10 +83,17 @@
 	return a.with(l.Endpoint, r)
 }
 
-// WithClosure records that the endpoint wants no requests from this process for the span. A span of 0 reopens it.
-func (a Attester[K]) WithClosure(endpoint K, span, now time.Duration) Attester[K] {
+// WithClosure records that the endpoint wants no requests from this process for the span, as the response to a request sent
+// at askedAt says. A span of 0 reopens the endpoint. Responses arrive in any order: one to an earlier request than that of
+// the closure in force may be from an earlier closure, so it can't shorten the one in force.
+func (a Attester[K]) WithClosure(endpoint K, span, askedAt, now time.Duration) Attester[K] {
 	r := a.reports[endpoint]
-	r.closedUntil = now + min(max(0, span), a.config.MaxClosure)
+	until := now + min(max(0, span), a.config.MaxClosure)
+	if isEarlier := askedAt < r.closureAskedAt && now < r.closedUntil; isEarlier {
+		r.closedUntil = max(r.closedUntil, until)
+	} else {
+		r.closedUntil, r.closureAskedAt = until, askedAt
+	}
 	return a.with(endpoint, r)
 }
 
--- a/pkg/attester/attester_test.go
+++ b/pkg/attester/attester_test.go
@@ -44,7 +44,7 @@
 	if s.isTold[endpoint] {
 		s.whileLeaving++
 	}
-	left, isLeaving := s.closedUntil[endpoint]-s.now, s.hasLeft[endpoint]
+	left, isLeaving, askedAt := s.closedUntil[endpoint]-s.now, s.hasLeft[endpoint], s.now
 	if first, isRejected := s.rejectedAt[endpoint]; left > 0 && !isRejected {
 		s.rejectedAt[endpoint] = s.now
 	} else if left > 0 && s.now >= first+500*time.Millisecond {
@@ -53,7 +53,7 @@
 	}
 	s.responses = append(s.responses, response{arrives: s.now + delay, receive: func() {
 		if left > 0 {
-			s.state = s.state.WithClosure(endpoint, left, s.now)
+			s.state = s.state.WithClosure(endpoint, left, askedAt, s.now)
 		}
 		if isLeaving {
 			s.state, s.isTold[endpoint] = s.state.WithLeaving(leaving{Endpoint: endpoint, At: s.now}, true), true
@@ -119,7 +119,7 @@
 		{2 * time.Second, 2 * time.Second}, {5 * time.Second, 5 * time.Second}, {time.Second, time.Second}, {0, 0}, {-time.Hour, 0},
 		{48 * time.Hour, attester.DefaultMaxClosure},
 	} {
-		a = a.WithClosure("e", c.span, time.Minute)
+		a = a.WithClosure("e", c.span, time.Minute, time.Minute)
 		ok, after := a.Availability("e", time.Minute)
 		assert.Equal(t, ok, c.want == 0)
 		assert.Equal(t, after, c.want)
@@ -128,6 +128,20 @@
 	}
 }
 
+// TestLateAnswerOfAnEarlierClosure guards against a late answer that ends a closure which began after it, and against an
+// answer to a later request that doesn't count.
+func TestLateAnswerOfAnEarlierClosure(t *testing.T) {
+	a := attester.New[string](attester.Config{}).WithClosure("e", 5*time.Second, 2*time.Second, 3*time.Second)
+	until := func(a attester.Attester[string]) time.Duration {
+		_, after := a.Availability("e", 3*time.Second)
+		return after
+	}
+	assert.Equal(t, until(a.WithClosure("e", 0, time.Second, 3*time.Second)), 5*time.Second)
+	assert.Equal(t, until(a.WithClosure("e", 6*time.Second, time.Second, 3*time.Second)), 6*time.Second)
+	assert.Equal(t, until(a.WithClosure("e", time.Second, 2500*time.Millisecond, 3*time.Second)), time.Second)
+	assert.Equal(t, until(a.WithClosure("e", time.Second, time.Second, 9*time.Second)), 7*time.Second, "the closure had ended")
+}
+
 // TestLeavingIsKept guards against a leaving endpoint that is used again because it is listed for long, has been closed, or
 // is unlisted for a while, and against reports that are kept forever.
 func TestLeavingIsKept(t *testing.T) {
@@ -138,7 +152,7 @@
 	a = a.WithLeaving(leaving{Endpoint: "e", At: 2 * time.Minute}, true).WithLeaving(leaving{Endpoint: "e", At: 3 * time.Minute}, false)
 	assert.DeepEqual(t, a.Leaving(time.Minute), []leaving{{Endpoint: "e", At: time.Minute}})
 	assert.Equal(t, len(a.Leaving(2*time.Minute)), 0)
-	a = a.WithClosure("e", 0, 0).WithoutExpired(unlisted, attester.DefaultRetention).WithoutExpired(listed, 48*time.Hour)
+	a = a.WithClosure("e", 0, 0, 0).WithoutExpired(unlisted, attester.DefaultRetention).WithoutExpired(listed, 48*time.Hour)
 	assert.Assert(t, a.IsLeaving("e"))
 	assert.Assert(t, !a.WithoutExpired(unlisted, 48*time.Hour).IsLeaving("e"))
 }
@@ -155,7 +169,7 @@
 			assert.Assert(t, err != nil, text)
 		}
 		assert.Assert(t, span >= 0 && (err == nil || span == 0), "%q: %v, %v", text, span, err)
-		ok, after := attester.New[string](attester.Config{}).WithClosure("e", span, time.Hour).Availability("e", time.Hour)
+		ok, after := attester.New[string](attester.Config{}).WithClosure("e", span, time.Hour, time.Hour).Availability("e", time.Hour)
 		assert.Equal(t, ok, span == 0)
 		assert.Equal(t, after, min(span, attester.DefaultMaxClosure))
 	})
@@ -169,7 +183,7 @@
 			for i := range keys {
 				keys[i] = fmt.Sprintf("engine-%03d@1796361600000", i)
 				if i < closed {
-					a = a.WithClosure(keys[i], time.Minute, 0)
+					a = a.WithClosure(keys[i], time.Minute, 0, 0)
 				}
 			}
 			b.ReportAllocs()
