Requests take the registration that they use with them

Data races on untouched code (TestDrainingEndpointGetsNoNewRequests, TestRevokedKeyDuringStoreOutage, once each under load): setEndpoints wrote an endpoint's registration and engine in place, under the lock, and requests read ID, address and engine without it. ID and start time never change for an incarnation and are fields of their own now, set once; address and engine are part of the placement that a request gets when it chooses the endpoint. The other fields are read under the lock.

send is split: receive reads and handles the response, and the connection is released in one place (the linter found send too complex).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -295,7 +295,7 @@
 	if x.route.IsIdempotent() {
 		idle = maxIdleIdempotent
 	}
-	conn, err := x.f.config.Pool.Get(ctx, e.Address, idle, x.call.ID)
+	conn, err := x.f.config.Pool.Get(ctx, x.chosen.address, idle, x.call.ID)
 	if err != nil {
 		return x.handleNotSent(ctx, e, "connect", err, true)
 	}
@@ -353,25 +353,31 @@
 	if err != nil {
 		return x.handleLost(ctx, e, "send", err)
 	}
+	release := func(response *http.Response) {
+		if reuse = stop(); reuse {
+			conn.Release(response)
+		}
+	}
+	return x.receive(ctx, e, a, release, prefillDone)
+}
+
+// receive reads and handles the response to the request that was sent. release is called once the whole response has been
+// read, so that the connection may be used again.
+func (x *exchange) receive(ctx context.Context, e *endpoint, a *attempt, release func(*http.Response), prefillDone func()) (*Refusal, bool) {
 	//nolint:bodyclose // The connection itself is closed or released. Closing the body would read the rest of a stream.
-	response, info, err := x.readResponse(e, conn)
+	response, info, err := x.readResponse(e, a.conn)
 	if err != nil {
 		return x.handleLost(ctx, e, "answer", err)
 	}
 	if info.IsNotRun {
-		reuse = connector.Discard(response.Body, maxDiscardedBody) && stop()
-		if reuse {
-			conn.Release(response)
+		if connector.Discard(response.Body, maxDiscardedBody) {
+			release(response)
 		}
 		return x.handleNotRun(ctx, e, info, response.StatusCode)
 	}
 	x.mayHaveRun, x.hasBegun = true, true
 	isUnsigned := info.IsUnsigned && response.StatusCode < http.StatusMultipleChoices
 	if x.route.Kind == registrar.Stream && response.StatusCode == http.StatusOK {
-		release := func() bool {
-			reuse = stop()
-			return reuse
-		}
 		r := &relayer{
 			x: x, e: e, a: a, response: response, isUnsigned: isUnsigned, buffer: make([]byte, 0, streamBufferSize), onFirstEvent: prefillDone,
 		}
@@ -384,9 +390,7 @@
 	if err != nil {
 		return x.handleLost(ctx, e, "body", err)
 	}
-	if reuse = stop(); reuse {
-		conn.Release(response)
-	}
+	release(response)
 	x.recordAnswered(response.StatusCode < http.StatusInternalServerError)
 	return x.handleBuffered(e, &bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
 }
@@ -396,7 +400,7 @@
 		EndpointID: e.ID, Remaining: x.deadline.Sub(x.f.config.Now()), Organisation: x.organisationName(),
 		AdapterVersion: version, LastEvent: x.lastEvent,
 	}
-	if e.engine != nil {
+	if x.chosen.engine != nil {
 		priority := x.route.Priority
 		if x.organisation != nil && x.organisation.Priority != nil {
 			priority = *x.organisation.Priority
@@ -516,9 +520,8 @@
 	pauses       pauseTimer
 }
 
-// relay forwards the stream until it ends or the connection fails. release reports whether the connection may be used
-// again.
-func (r *relayer) relay(ctx context.Context, release func() bool) (*Refusal, bool) {
+// relay forwards the stream until it ends or the connection fails. release is that of receive.
+func (r *relayer) relay(ctx context.Context, release func(*http.Response)) (*Refusal, bool) {
 	x, response := r.x, r.response
 	for {
 		err := r.next()
@@ -526,9 +529,7 @@
 		case errors.Is(err, io.EOF) && r.isUnsigned && isFramed(response):
 			return x.handleLost(ctx, r.e, "stream", errUnsigned)
 		case errors.Is(err, io.EOF) && len(r.buffer) == 0 && (x.attemptEvents > 0 || isFramed(response)):
-			if release() {
-				r.a.conn.Release(response)
-			}
+			release(response)
 			x.recordAnswered(true)
 			x.limitWrite(x.f.config.StreamStall)
 			x.writeHeader(response)
@@ -601,7 +602,7 @@
 		r.x.recordOutcome(r.e, false, false)
 		if r.x.firstEventAfter == 0 {
 			r.x.firstEventAfter = r.x.f.config.Now().Sub(r.x.arrivedAt)
-			r.x.recordEstimate(r.e)
+			r.x.recordEstimate()
 			r.x.recordForecast(true)
 		}
 	}
--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -130,7 +130,7 @@
 
 // observe learns from the arrival of events.
 func (r *relayer) observe(events int) {
-	if r.e.engine == nil {
+	if r.x.chosen.engine == nil {
 		return
 	}
 	now := r.x.f.config.Now()
@@ -187,8 +187,8 @@
 }
 
 // recordEstimate records how exact the expected time to the first event was.
-func (x *exchange) recordEstimate(e *endpoint) {
-	if e.engine == nil || x.chosen.expected <= 0 {
+func (x *exchange) recordEstimate() {
+	if x.chosen.engine == nil || x.chosen.expected <= 0 {
 		return
 	}
 	x.estimateRatio = float64(x.f.config.Now().Sub(x.chosen.at)) / float64(x.chosen.expected)
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -57,7 +57,13 @@
 func (i incarnation) String() string { return i.id + "@" + strconv.FormatInt(i.born, 10) }
 
 // endpoint is this entry's view of one incarnation of an endpoint.
+//
+// Its fields are guarded by the fleet's lock, but for ID, Born and key, which never change. What a request needs of the
+// others without the lock, it takes with it when it chooses the endpoint (placement).
 type endpoint struct {
+	// ID and Born hide those of the registration, which is overwritten when it changes.
+	ID   string
+	Born int64
 	registrar.Endpoint
 	engine *registrar.Engine
 	// state is the sidecar's last report, and stateAt the time of its receipt; zero without a report.
@@ -230,7 +236,7 @@
 // newEndpoint returns the view of a new incarnation. previous is the one that had the address, or nil.
 func (f *fleet) newEndpoint(key incarnation, service string, previous *endpoint) *endpoint {
 	e := &endpoint{
-		usage: map[registrar.AdapterKey]*adapterUsage{}, resident: map[registrar.AdapterKey]int64{},
+		ID: key.id, Born: key.born, usage: map[registrar.AdapterKey]*adapterUsage{}, resident: map[registrar.AdapterKey]int64{},
 		loading: map[registrar.AdapterKey]int64{}, copyCount: f.copyCount(service), cached: map[prefixKey]time.Time{}, changed: make(chan struct{}),
 		attempts: map[*attempt]struct{}{}, key: key.String(), pace: endpointPace{holder: pacer.NewHolder(f.rng.Int64N(maxFirstRound))},
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -316,6 +316,9 @@
 // placement holds the inputs of the last selection of an endpoint.
 type placement struct {
 	endpoint string
+	// address and engine are those of the endpoint's registration and of its service; engine is nil for a plain service.
+	address  string
+	engine   *registrar.Engine
 	expected time.Duration
 	// idle is the time that would be expected of the endpoint without other requests, and ownTokens the part of the prompt
 	// to be read there.
@@ -572,7 +575,7 @@
 	}
 	e, c := endpoints[choice.Index], candidates[choice.Index]
 	p := placement{
-		endpoint: e.ID, expected: choice.Expected, fastest: choice.Fastest, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
+		endpoint: e.ID, address: e.Address, engine: e.engine, expected: choice.Expected, fastest: choice.Fastest, residency: c.Residency, stateAge: -time.Millisecond, busy: c.Busy, pendingPrefill: c.UnreadTokens,
 		at: f.config.Now(), isWarm: c.IsWarm, speed: c.Speed,
 	}
 	c.Busy, c.UnreadTokens, c.FreeTokens, p.ownTokens = 0, 0, sel.request.RequiredTokens, max(0, sel.request.PromptTokens-c.CachedPrefixTokens)
