The test of refused connections keeps its port

TestConnectFailureIsRetriedElsewhere closed a listener and hoped that nobody else would get its port; twice among 24 runs of the package side by side another process did. The address is now that of a socket that is bound and doesn't listen, so that connections are refused and the port stays taken.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -435,14 +436,30 @@
 
 // TestConnectFailureIsRetriedElsewhere guards against failing a request because one endpoint refuses connections.
 func TestConnectFailureIsRetriedElsewhere(t *testing.T) {
-	gone, live := newEndpoint(t, "gone", ok), newEndpoint(t, "live", ok)
-	assert.NilError(t, gone.listener.Close())
-	f := newFixture(t, gone, live)
+	live := newEndpoint(t, "live", ok)
+	f := newFixture(t, live)
+	gone := registrar.Endpoint{ID: "gone", Service: "s", Address: refusingAddress(t), Slots: 4}
+	f.SetEndpoints([]registrar.Endpoint{gone, live.registered("s")})
 	for range 4 {
 		assert.Equal(t, f.send(t, "/once/", "").status, 200)
 	}
 }
 
+// refusingAddress returns an address that refuses connections. Its port is bound until the test ends, so that no other
+// process can listen there.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(fd)
+	assert.NilError(t, err)
+	address, ok := bound.(*syscall.SockaddrInet4)
+	assert.Assert(t, ok)
+	return fmt.Sprint("127.0.0.1:", address.Port)
+}
+
 // TestRetryBudgetLimitsRetries guards against retries that multiply the load when endpoints fail every request.
 func TestRetryBudgetLimitsRetries(t *testing.T) {
 	fails := func(c net.Conn, r *http.Request, _ int) bool { return respond(c, r, 500, "", "error") }
