Tests: read a fake under its lock, and one fleet in place of six

TestOrdersOfAnEarlierRunDoNotOverfill read the fake engine's counts without its lock after late orders (a data race); it takes the lock now: five runs of the package with the race detector pass. TestFailedResumptionStaysOutOfTheStream started six fleets beside those of the other parallel tests of launcher, of which three were not ready within 25 s; it plays its six answers with one fleet. It still fails without the guard (2 of 2 runs) and passes with it.

--- a/internal/launcher/outcome_test.go
+++ b/internal/launcher/outcome_test.go
@@ -81,26 +81,25 @@
 			_ = c.Close()
 		},
 	}
-	for name, answer := range answers {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f := startFleetWith(t, launcher.DemoConfig{WrapEngine: func(_ int, next http.Handler) http.Handler {
-				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					if r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/v1/streams/") {
-						answer(w, strings.TrimPrefix(r.URL.Path, "/v1/streams/"))
-						return
-					}
-					if r.URL.Path == "/v1/completions" {
-						w = &truncatingWriter{w}
-					}
-					next.ServeHTTP(w, r)
-				})
-			}})
-			_, text := f.do("POST", f.announcement.Entries[0]+"/v1/completions", f.announcement.Keys["accra"], "", completionRequest("accra-drafts", prompt, tokens, true))
-			got, complete, _ := readStream(t, strings.NewReader(text), nil)
-			assert.Check(t, strings.HasPrefix(want, got), "%q", got)
-			assert.Check(t, !complete || got == want, "looks complete: %q", got)
-			assert.Check(t, !strings.Contains(text, "out of memory") || strings.Contains(text, `"outcome"`), text)
+	var answer atomic.Pointer[func(w http.ResponseWriter, id string)]
+	f := startFleetWith(t, launcher.DemoConfig{WrapEngine: func(_ int, next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if id, isResumed := strings.CutPrefix(r.URL.Path, "/v1/streams/"); r.Method == http.MethodGet && isResumed {
+				(*answer.Load())(w, id)
+				return
+			}
+			if r.URL.Path == "/v1/completions" {
+				w = &truncatingWriter{w}
+			}
+			next.ServeHTTP(w, r)
 		})
+	}})
+	for name, a := range answers {
+		answer.Store(&a)
+		_, text := f.do("POST", f.announcement.Entries[0]+"/v1/completions", f.announcement.Keys["accra"], "", completionRequest("accra-drafts", prompt, tokens, true))
+		got, complete, _ := readStream(t, strings.NewReader(text), nil)
+		assert.Check(t, strings.HasPrefix(want, got), "%s: %q", name, got)
+		assert.Check(t, !complete || got == want, "%s: looks complete: %q", name, got)
+		assert.Check(t, !strings.Contains(text, "out of memory") || strings.Contains(text, `"outcome"`), "%s: %s", name, text)
 	}
 }
--- a/internal/orderer/runs_test.go
+++ b/internal/orderer/runs_test.go
@@ -126,7 +126,7 @@
 		restarts := rapid.SliceOfN(rapid.IntRange(0, steps), 0, 6).Draw(rt, "restarts of the engine")
 		sidecarRestarts := rapid.SliceOfN(rapid.IntRange(0, steps), 0, 3).Draw(rt, "restarts of the sidecar")
 		wanted := rapid.SliceOfN(rapid.IntRange(1, 7), steps/5, steps/5).Draw(rt, "wanted")
-		orders := 0
+		orders, crashReason := 0, ""
 		synctest.Test(t, func(*testing.T) {
 			grants := int64(0)
 			fence := func(context.Context) (int64, error) {
@@ -148,9 +148,9 @@
 			}
 			end()
 			time.Sleep(time.Minute)
-			orders = e.orders
+			e.update(func() { orders, crashReason = e.orders, e.crashReason })
 		})
-		assert.Equal(rt, e.crashReason, "")
+		assert.Equal(rt, crashReason, "")
 		assert.Assert(rt, orders > 0 || e.ignoresFencing)
 	})
 }
