Virtual-time test doesn't wait on a timer that is due

Four of the five dumps end in runtime.maybeRunChan, called by the select on time.After in fleetStore.renew; the fifth ends in synctest.Run while it runs the bubble's timers. The crash is in the race detector's own code (StackDepot, TraceSwitchPart).

--- a/internal/registrar/fleet_test.go
+++ b/internal/registrar/fleet_test.go
@@ -230,12 +230,14 @@
 		}
 	}
 	sleepUntil := func(at time.Duration) bool {
-		select {
-		case <-time.After(time.Until(s.begin.Add(min(at, leaveAt)))):
-			return at < leaveAt
-		case <-ctx.Done():
-			return false
+		// Receiving from a timer that is due already can crash the race detector in a synctest bubble (Go 1.26.8).
+		if left := time.Until(s.begin.Add(min(at, leaveAt))); left > 0 {
+			select {
+			case <-time.After(left):
+			case <-ctx.Done():
+			}
 		}
+		return ctx.Err() == nil && at < leaveAt
 	}
 	for at := s.schedule.phase[endpoint] - renewInterval; sleepUntil(at); at += renewInterval {
 		if s.trouble(-1) != nil {
