Entries on thin links follow a grown configuration

Withdrawn keys went on working and new routes were refused with 404.

Cause: a read of the store had 1.2 s for the whole transfer and was repeated beside itself after 0.4 s while its answer was arriving; a copy from a peer had 0.8 s. Once the row took longer than these, the entry filled its link with transfers that it broke off.

Change: transfers end by lack of progress (internal/receiver). An answer that is arriving isn't asked for again, and is given up when a peer brings something newer. Large rows go between entries as Zstandard patches to their previous value (pkg/patcher), in relayed changes and in copies, so that a withdrawn key takes some hundred bytes. An answer that takes more than half of the time in which it must be in force is logged. In the product's own home objects are fetched by progress too.

Result: TestGrownConfigurationIsFollowedOverThinLink, TestWithdrawnKeyDoesNotWaitForRoutes and TestLargeObjectArrivesOverThinLink failed before. TestArrivingAnswerIsNotAskedForAgain and TestArrivingAnswerEndsWithCopy fail with any of the three guards in the follower taken out.

--- a/internal/applier/follower.go
+++ b/internal/applier/follower.go
@@ -26,7 +26,7 @@
 	DefaultMaxProofAge = 3 * time.Second
 	// headTimeout bounds one read of the head, so that a hanging store is detected well within DefaultMaxProofAge.
 	headTimeout = time.Second
-	// fetchTimeout bounds the fetch of a snapshot or of one page of deltas.
+	// fetchTimeout bounds the fetch of one page of deltas. Objects are fetched for as long as they make progress.
 	fetchTimeout = 5 * time.Second
 	// transitAllowance is added to the age of each proof from another process to cover the network delay, which
 	// neither process can measure. It is far above the latency of 1.5 ms between failure domains.
@@ -240,8 +240,6 @@
 }
 
 func (f *Follower) fetch(ctx context.Context, step FetchStep) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
 	if step.Snapshot != 0 {
 		if err := f.fetchSnapshot(ctx, step.Snapshot); err == nil {
 			return nil
@@ -249,7 +247,9 @@
 		// Fall back to the deltas, which also lead to the newest revision, but more slowly.
 		step.From = f.Current().Number() + 1
 	}
-	rows, err := f.c.Table.Query(ctx, deltaPk, deltaSk(step.From), queryPage)
+	queryCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	rows, err := f.c.Table.Query(queryCtx, deltaPk, deltaSk(step.From), queryPage)
 	if err != nil {
 		return err
 	}
--- a/internal/registrar/changes.go
+++ b/internal/registrar/changes.go
@@ -9,12 +9,16 @@
 	// Age is at least the time since the store returned them.
 	Age  time.Duration
 	Rows Rows
+	// Previous are the rows before the changes, by key; nil if they are not known. The map must not be modified.
+	Previous map[string]Row
+	// MustCopy means that the changes up to From have to be copied from the process that sends this.
+	MustCopy bool
 }
 
 // Split divides changes into parts that follow on one another, with values of about maxBytes each. The rows must be in
 // the order of their versions; those of one version stay together, because they were written together. If they are too
-// large for a part, the parts end before them and the last part follows on none, which makes the receivers read by
-// themselves.
+// large for a part, the parts end before them, and the last part makes the receivers copy the table. Previous is not
+// passed on.
 func (c Changes) Split(maxBytes int) []Changes {
 	var parts []Changes
 	part := Changes{From: c.From, Age: c.Age, Rows: Rows{Version: c.From}}
@@ -30,7 +34,7 @@
 		part.Rows.Version = max(part.Rows.Version, r.Version)
 		size += len(r.Value)
 		if size > 2*maxBytes {
-			return append(parts, Changes{From: c.Rows.Version, Age: c.Age, Rows: Rows{Version: c.Rows.Version}})
+			return append(parts, Changes{From: c.Rows.Version, Age: c.Age, Rows: Rows{Version: c.Rows.Version}, MustCopy: true})
 		}
 	}
 	part.Rows.Version = max(part.Rows.Version, c.Rows.Version)
--- a/internal/registrar/follower.go
+++ b/internal/registrar/follower.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"geraniumladder/internal/receiver"
 	"geraniumladder/pkg/relayer"
 	"geraniumladder/pkg/retainer"
 )
@@ -67,7 +68,7 @@
 	Wait time.Duration
 	// RepeatAfter is the time beyond Wait after which a read that is not answered is repeated beside the first, which the
 	// store may have lost. With 0, it is not repeated before it fails. Wait and RepeatAfter together bound how long a lost
-	// read hides the store's return.
+	// read hides the store's return. A large answer that is arriving is not asked for again, see receiver.WithProgress.
 	RepeatAfter time.Duration
 	// Pause is the time between two reads, which bounds the number of calls for a table that changes constantly.
 	// SetPause changes it.
@@ -75,6 +76,8 @@
 	// Retention decides how long rows that lapsed during an outage of the store stay in use. By default none does.
 	// SetRetention changes it.
 	Retention retainer.Config
+	// SlowAnswer is the time after which a large answer that is still arriving is logged when it ends; with 0 none is.
+	SlowAnswer time.Duration
 	// OnChange is called with the table after each change.
 	OnChange func(Table)
 	// Name is the name of this process among those that follow the table. Relay, if not nil, passes changes that the store
@@ -123,13 +126,17 @@
 	rows    map[string]Row
 	// retained holds rows that were removed during an outage and stay in use for a while. No key is also in rows.
 	retained map[string]retainedRow
-	// hasSnapshot is set once the whole table has been read, and cleared when the store's history is lost. The version
+	// hasSnapshot is set once the whole table has been read or copied, and cleared when the store's history is lost. The version
 	// cannot serve for this, because an empty store is at version 0.
 	hasSnapshot bool
 	lastSuccess time.Time
 	inOutage    bool
 	// failingSince is the time of the first of the consecutive failures; zero after a successful read.
 	failingSince time.Time
+	// receivingSince is the time at which the first part of a large answer to the current read arrived; zero without one.
+	receivingSince time.Time
+	// cancelRead ends the current read; nil without one.
+	cancelRead context.CancelFunc
 }
 
 // NewFollower returns a Follower with an empty table. Run starts it.
@@ -165,23 +172,47 @@
 }
 
 // HandleRelayed applies changes that the peer has read. Changes that don't follow on this copy make the follower read by
-// itself.
-func (f *Follower) HandleRelayed(peer string, c Changes) {
+// itself. It reports whether the changes are to be copied from the peer instead, with Merge or, if that fails, ReadNow.
+func (f *Follower) HandleRelayed(peer string, c Changes) bool {
 	f.mu.Lock()
 	if !f.hasSnapshot || f.relayer.Interval() == 0 {
 		f.mu.Unlock()
-		return
+		return false
 	}
-	if c.From > f.version {
-		f.relayer = f.relayer.WithOwnRead()
+	readAt := f.elapsed() - c.Age
+	switch isBehind := c.From > f.version; {
+	case isBehind && c.MustCopy:
+		f.relayer = f.relayer.WithRelayed(peer, readAt)
 		f.mu.Unlock()
-		f.wakeRun()
-		return
+		return true
+	case isBehind:
+		f.mu.Unlock()
+		f.ReadNow()
+		return false
 	}
-	readAt := f.elapsed() - c.Age
 	f.relayer = f.relayer.WithRelayed(peer, readAt)
 	f.mu.Unlock()
 	f.apply(c.Rows, readAt)
+	f.supersedeRead()
+	return false
+}
+
+// ReadNow makes the follower read by itself.
+func (f *Follower) ReadNow() {
+	f.mu.Lock()
+	f.relayer = f.relayer.WithOwnRead()
+	f.mu.Unlock()
+	f.wakeRun()
+}
+
+// supersedeRead ends a read whose large answer is still arriving, after newer changes came from a peer. The next read
+// asks for what is newer than those.
+func (f *Follower) supersedeRead() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancelRead != nil && !f.receivingSince.IsZero() {
+		f.cancelRead()
+	}
 }
 
 // elapsed returns the time since the start, which is the clock of relayer and retainer.
@@ -255,9 +286,12 @@
 
 // poll reads the changes since the last read, or the whole table at first and after the history was lost.
 func (f *Follower) poll(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	f.mu.Lock()
-	after := f.version
+	after, previous := f.version, f.rows
 	needsSnapshot := !f.hasSnapshot
+	f.cancelRead = cancel
 	f.mu.Unlock()
 	if needsSnapshot {
 		a := f.read(ctx, 0, func(ctx context.Context, _ time.Duration) (Rows, error) {
@@ -277,7 +311,7 @@
 	// The store holds the read open for no longer than its wait, so the answer may be as old as the rest.
 	age := max(0, f.elapsed()-a.sentAt-a.wait)
 	f.apply(a.rows, a.sentAt)
-	f.relay(after, a.rows, age)
+	f.relay(Changes{From: after, Age: age, Rows: a.rows, Previous: previous})
 	return nil
 }
 
@@ -290,9 +324,17 @@
 }
 
 // read reads until the store answers or refuses. It repeats a read that is not answered in time, without a wait and
-// beside the earlier ones, and returns the first answer. The reads sent before that one have failed.
+// beside the earlier ones, and returns the first answer. The reads sent before that one have failed. While a large answer
+// is arriving, a repetition would only take a part of the link from it.
 func (f *Follower) read(ctx context.Context, wait time.Duration, call func(ctx context.Context, wait time.Duration) (Rows, error)) answer {
-	ctx, cancel := context.WithCancel(ctx)
+	progress := make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(receiver.WithProgress(ctx, func() {
+		select {
+		case progress <- struct{}{}:
+		default:
+		}
+	}))
+	defer f.recordReceiving(false)
 	answers := make(chan answer)
 	// pending are the times at which the reads without a result were sent, in order.
 	var pending []time.Duration
@@ -321,6 +363,8 @@
 		case a := <-answers:
 			pending = slices.DeleteFunc(pending, func(sentAt time.Duration) bool { return sentAt == a.sentAt })
 			switch {
+			case ctx.Err() != nil:
+				return answer{err: ctx.Err()}
 			case a.err == nil || errors.Is(a.err, ErrHistoryLost):
 				for _, sentAt := range pending {
 					if sentAt < a.sentAt {
@@ -338,23 +382,44 @@
 			send(0)
 			delay = min(2*delay, maxRepeatDelay)
 			repeat = time.After(delay)
+		case <-progress:
+			f.recordReceiving(true)
+			if delay > 0 {
+				repeat = time.After(delay)
+			}
 		case <-ctx.Done():
 			return answer{err: ctx.Err()}
 		}
 	}
 }
 
+// recordReceiving records that a part of a large answer has arrived, or that the read has ended.
+func (f *Follower) recordReceiving(isReceiving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case !isReceiving:
+		if took := f.config.Now().Sub(f.receivingSince); !f.receivingSince.IsZero() && f.config.SlowAnswer > 0 && took > f.config.SlowAnswer {
+			f.config.Log.Warn().Str("Table", f.config.Table).Int64("Version", f.version).Dur("Took", took).Dur("Limit", f.config.SlowAnswer).
+				Msg("registrar: a large answer took long to arrive; the table grows too large for this VM's link to follow its changes in time")
+		}
+		f.receivingSince, f.cancelRead = time.Time{}, nil
+	case f.receivingSince.IsZero():
+		f.receivingSince = f.config.Now()
+	}
+}
+
 // errUnanswered means that the store has answered a later read and not this one.
 var errUnanswered = errors.New("the read is not answered; it was repeated")
 
 // relay passes a read on to the other processes. A read that took much longer than it should is not passed on: this
 // process may have been suspended since the store returned it.
-func (f *Follower) relay(from int64, rows Rows, age time.Duration) {
+func (f *Follower) relay(c Changes) {
 	f.mu.Lock()
 	isRelaying := f.config.Relay != nil && f.relayer.Interval() > 0
 	f.mu.Unlock()
-	if isRelaying && age < outageThreshold {
-		f.config.Relay(Changes{From: from, Age: age, Rows: rows})
+	if isRelaying && c.Age < outageThreshold {
+		f.config.Relay(c)
 	}
 }
 
@@ -532,7 +597,10 @@
 		}
 	}
 	f.version, f.rows, f.retained = rows.Version, next, retained
+	// The copy is the store's content at its version, so that the changes after that version are enough.
+	f.hasSnapshot = true
 	f.mu.Unlock()
+	f.supersedeRead()
 	f.deliver()
 	return true
 }
@@ -607,6 +675,16 @@
 	return f.config.Now().Sub(f.failingSince)
 }
 
+// ReceivingFor returns how long a large answer to the current read has been arriving; 0 without one.
+func (f *Follower) ReceivingFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.receivingSince.IsZero() {
+		return 0
+	}
+	return f.config.Now().Sub(f.receivingSince)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/resident/entry.go
+++ b/internal/resident/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"strconv"
@@ -70,9 +69,6 @@
 	// changedDemandInterval is the interval at which demands that have changed are sent.
 	changedDemandInterval = 40 * time.Millisecond
 	pruneInterval         = time.Second
-	// copyInterval is the interval at which newer tables are looked for at peers, and copyTimeout bounds one copy.
-	copyInterval = 250 * time.Millisecond
-	copyTimeout  = 800 * time.Millisecond
 	// drainNoticeTime is how long after the start of a planned shutdown the load balancer may still route callers to this
 	// entry: it probes once a second and removes an entry after two failed probes.
 	drainNoticeTime = 3 * time.Second
@@ -100,8 +96,6 @@
 	kindTableChanges = "TableChanges"
 )
 
-const tablePath = "/peer/tables/"
-
 // EntryConfig configures an Entry. Addresses are HOST:PORT.
 type EntryConfig struct {
 	VM, Domain string
@@ -116,6 +110,8 @@
 	PeerPort    int
 	Platform    Platform
 	Translator  forwarder.Translator
+	// DialPeer opens connections to other entries; a net.Dialer does if it is nil.
+	DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
 	// Probe is that of forwarder.Config.
 	Probe  func(ctx context.Context, address string) (born int64, err error)
 	Tuning Tuning
@@ -132,6 +128,7 @@
 	gossiper  *gossiper.Gossiper
 	operators *registrar.Follower
 	endpoints *registrar.Follower
+	copier    *copier
 	meter     *meter.Meter
 	leaving   atomic.Bool
 	// hasEndpoints is true once the list of endpoints has been received.
@@ -197,7 +194,7 @@
 	}
 	e.operators = registrar.NewFollower(registrar.FollowerConfig{
 		Table: c.Platform.OperatorsTable(), Source: c.Platform, Wait: operatorsWait(c.Tuning), RepeatAfter: readRepeatTime,
-		OnChange: e.setOperators, Now: time.Now, Log: c.Log,
+		OnChange: e.setOperators, SlowAnswer: c.Tuning.ApplyTime / 2, Now: time.Now, Log: c.Log,
 		Name: c.VM, Relay: e.relay(c.Platform.OperatorsTable()),
 	})
 	e.endpoints = registrar.NewFollower(registrar.FollowerConfig{
@@ -206,6 +203,9 @@
 		OnChange: e.setEndpoints, Now: time.Now, Log: c.Log,
 		Name: c.VM, Relay: e.relay(c.Platform.EndpointsTable()),
 	})
+	e.copier = newCopier(copierConfig{
+		Followers: []*registrar.Follower{e.operators, e.endpoints}, PeersWithNewer: e.sharer.PeersWithNewer, Dial: c.DialPeer, Log: c.Log,
+	})
 	g.SetForward(gossiper.ForwardConfig{Recipients: e.sharer.ForwardAddresses, Observe: instruments.States})
 	gossiper.Handle(g, kindEngineState, func(s wire.EngineState) (string, gossiper.Stamp) {
 		return s.Address, gossiper.Stamp{Boot: s.Boot, Sequence: s.Sequence}
@@ -220,7 +220,7 @@
 	})
 	gossiper.Handle(g, kindTableChanges, func(m wire.TableChanges) (string, gossiper.Stamp) {
 		return m.VM + "/" + m.Table, gossiper.Stamp{Boot: m.Boot, Sequence: m.Sequence}
-	}, func(m wire.TableChanges, _ string) { e.handleTableChanges(m) })
+	}, func(m wire.TableChanges, from string) { e.handleTableChanges(m, from) })
 	return e, nil
 }
 
@@ -274,6 +274,7 @@
 }
 
 func (e *Entry) setOperators(t registrar.Table) {
+	e.copier.observe(t)
 	operators := e.config.Platform.DecodeOperators(t, e.log)
 	configuration := operators.Configuration
 	e.mu.Lock()
@@ -384,93 +385,6 @@
 	}
 }
 
-// copyTables copies newer tables from peers while the store doesn't respond to this entry.
-func (e *Entry) copyTables(ctx context.Context) {
-	for _, f := range []*registrar.Follower{e.operators, e.endpoints} {
-		f.DropCopied()
-		table := f.Table()
-		if table.Version > 0 && f.FailingFor() < storeFailureThreshold {
-			continue
-		}
-		for _, address := range e.sharer.PeersWithNewer(f.Name(), table.Version) {
-			askedAt := time.Now()
-			rows, err := fetchTable(ctx, address, f.Name())
-			if err != nil {
-				e.log.Warn().Err(err).Str("Peer", address).Str("Table", f.Name()).Msg("entry: table could not be copied from peer")
-				continue
-			}
-			if f.Merge(rows, askedAt) {
-				e.log.Info().Str("Peer", address).Str("Table", f.Name()).Int64("From", table.Version).
-					Int64("To", rows.Version).Strs("Retained", retainedKeys(rows)).Msg("entry: table copied from a peer")
-			}
-			break
-		}
-	}
-}
-
-// storeFailureThreshold is how long reads must have failed before tables are copied from peers. It outlasts a single
-// rejected read and is short compared with the time within which a change must be known. A process that has no table yet
-// copies at once.
-const storeFailureThreshold = 200 * time.Millisecond
-
-var copyClient = &http.Client{Timeout: copyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-
-func fetchTable(ctx context.Context, address, table string) (registrar.Rows, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+tablePath+table, nil)
-	if err != nil {
-		return registrar.Rows{}, errors.Wrap(err, "fetch table from peer")
-	}
-	response, err := copyClient.Do(request)
-	if err != nil {
-		return registrar.Rows{}, errors.Wrap(err, "fetch table from peer")
-	}
-	defer func() { _ = response.Body.Close() }()
-	var copied wire.TableCopy
-	if err := json.NewDecoder(response.Body).Decode(&copied); err != nil {
-		return registrar.Rows{}, errors.Wrap(err, "decode table from peer")
-	}
-	rows := registrar.Rows{Version: copied.Version}
-	for _, r := range append(copied.Rows, copied.Retained...) {
-		rows.Rows = append(rows.Rows, decodeRow(r))
-	}
-	return rows, nil
-}
-
-// retainedKeys returns the keys of the rows that a peer still uses although they are deleted.
-func retainedKeys(rows registrar.Rows) []string {
-	var keys []string
-	for _, r := range rows.Rows {
-		if r.IsDeleted {
-			keys = append(keys, r.Key)
-		}
-	}
-	return keys
-}
-
-// peerHandler serves requests of the other entries.
-func (e *Entry) peerHandler() http.Handler {
-	router := echo.New()
-	router.GET(tablePath+":table", func(c echo.Context) error {
-		for _, f := range []*registrar.Follower{e.operators, e.endpoints} {
-			if f.Name() != c.Param("table") {
-				continue
-			}
-			rows := f.Copy()
-			copied := wire.TableCopy{Table: f.Name(), Version: rows.Version, Rows: make([]wire.TableRow, 0, len(rows.Rows))}
-			for _, r := range rows.Rows {
-				if r.IsDeleted {
-					copied.Retained = append(copied.Retained, encodeRow(r))
-				} else {
-					copied.Rows = append(copied.Rows, encodeRow(r))
-				}
-			}
-			return c.JSON(http.StatusOK, copied)
-		}
-		return echo.NewHTTPError(http.StatusNotFound, "there is no such table")
-	})
-	return router
-}
-
 // readinessHandler serves the readiness probe of the load balancer.
 func (e *Entry) readinessHandler() http.Handler {
 	router := echo.New()
@@ -498,7 +412,7 @@
 	}{
 		{e.config.CallerAddress, callers},
 		{e.config.ReadyAddress, newServer(e.readinessHandler())},
-		{e.config.PeerAddress, newServer(e.peerHandler())},
+		{e.config.PeerAddress, newServer(e.copier.handler())},
 		{e.config.MetricsAddress, newServer(metricsHandler(e.config.MetricsPath, e.meter))},
 	} {
 		if err := addServer(&group, s.server, s.address); err != nil {
@@ -511,7 +425,7 @@
 			looper.Every(changedDemandInterval, func(context.Context) { e.sendDemands(e.forwarder.ChangedDemands(), demandStatements{}) }),
 			looper.Every(forwarder.LivenessInterval, func(context.Context) { e.forwarder.CheckLiveness() }),
 			looper.Every(pruneInterval, func(context.Context) { e.forwarder.Prune() }),
-			looper.Every(copyInterval, e.copyTables), looper.Every(pruneInterval, func(context.Context) { e.setRelayIntervals() }))
+			e.copier.run, looper.Every(pruneInterval, func(context.Context) { e.setRelayIntervals() }))
 	})
 	addLoop(&group, reloadLoop(e.config.Reload, e.applyTuning, e.log))
 	stopped := make(chan struct{})
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -21,6 +21,8 @@
 	s3types "github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"geraniumladder/internal/receiver"
 )
 
 // DefaultTableName is the default name of the table and of the object store's bucket.
@@ -52,7 +54,7 @@
 type ClientConfig struct {
 	// URL of the platform, such as "http://10.0.0.2:8000".
 	URL string
-	// Timeout is the timeout of each call; DefaultCallTimeout if 0.
+	// Timeout is the timeout of each call, and of each step of the transfer of an object; DefaultCallTimeout if 0.
 	Timeout time.Duration
 	// Table is the name of the table and of the object store's bucket; DefaultTableName if empty.
 	Table string
@@ -364,15 +366,15 @@
 
 // GetObject implements Objects.
 func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
-	ctx, cancel := c.withTimeout(ctx)
-	defer cancel()
+	receiving := receiver.New(ctx, receiver.Config{First: c.config.Timeout, Step: c.config.Timeout})
+	defer receiving.Close()
 	op := "get object " + key
-	out, err := c.objects.GetObject(ctx, &s3.GetObjectInput{Bucket: &c.config.Table, Key: &key})
+	out, err := c.objects.GetObject(receiving.Context(), &s3.GetObjectInput{Bucket: &c.config.Table, Key: &key})
 	if err != nil {
-		return nil, c.wrapError(op, err)
+		return nil, c.wrapError(op, receiving.Err(err))
 	}
 	defer func() { _ = out.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(out.Body, maxResponseBytes))
+	body, err := receiving.ReadAll(out.Body, maxResponseBytes)
 	return body, c.wrapError(op, err)
 }
 
--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -227,6 +227,35 @@
 	assert.NilError(t, err)
 }
 
+// Guards against a snapshot that never arrives over a thin link, because its transfer takes longer than a call may, and
+// against an object store that holds a call with a byte now and then.
+func TestLargeObjectArrivesOverThinLink(t *testing.T) {
+	const part, timeout = 32 << 10, 500 * time.Millisecond
+	trickles := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range 30 {
+			content := make([]byte, part)
+			if trickles {
+				content = content[:1]
+			}
+			if _, err := w.Write(content); err != nil || r.Context().Err() != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+			time.Sleep(timeout / 10)
+		}
+	}))
+	defer server.Close()
+	client := storer.NewClient(storer.ClientConfig{URL: server.URL, Timeout: timeout})
+	defer client.Close()
+	body, err := client.GetObject(t.Context(), "snapshot")
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), 30*part)
+	trickles = true
+	_, err = client.GetObject(t.Context(), "snapshot")
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
 // Guards against opening a new connection for each call.
 func TestConnectionIsReused(t *testing.T) {
 	server := httptest.NewUnstartedServer(emulator.NewPlatform(emulator.PlatformConfig{}).Handler())
--- a/internal/wire/wire.gen.go
+++ b/internal/wire/wire.gen.go
@@ -764,6 +764,18 @@
 	Sequence int64    `json:"Sequence"`
 }
 
+// RowPatch A row whose value is given as a Zstandard frame. The frame's dictionary is another value of the row, or it has none.
+type RowPatch struct {
+	// BaseChecksum CRC-32C of the other value; 0 if there is none.
+	BaseChecksum int64 `json:"BaseChecksum"`
+
+	// Checksum CRC-32C of the value.
+	Checksum int64  `json:"Checksum"`
+	Frame    []byte `json:"Frame"`
+	Key      string `json:"Key"`
+	Version  int64  `json:"Version"`
+}
+
 // RunError Body of a sidecar's refusal or failure.
 type RunError struct {
 	Code      RunErrorCode    `json:"Code"`
@@ -852,8 +864,15 @@
 	Boot string `json:"Boot"`
 
 	// From Version of the table to which the changes apply.
-	From int64      `json:"From"`
-	Rows []TableRow `json:"Rows"`
+	From int64 `json:"From"`
+
+	// MustCopy The changes up to From don't fit in a datagram; a receiver that lacks them copies the table from the sender.
+	MustCopy  bool  `json:"MustCopy,omitempty"`
+	PatchFrom int64 `json:"PatchFrom,omitempty"`
+
+	// Patches Changed rows with large values. With patches, the changes apply to the version PatchFrom; From is then Version, so that a receiver that doesn't know patches reads by itself.
+	Patches []RowPatch `json:"Patches,omitempty"`
+	Rows    []TableRow `json:"Rows"`
 
 	// Sequence Rises with each message of one run.
 	Sequence int64  `json:"Sequence"`
@@ -866,6 +885,9 @@
 
 // TableCopy One process's copy of a table of the platform's store.
 type TableCopy struct {
+	// Patches Rows of the store with large values, in place of Rows, for receivers that ask for patches.
+	Patches []RowPatch `json:"Patches,omitempty"`
+
 	// Retained The deleted rows that the sender still uses, with their last values.
 	Retained []TableRow `json:"Retained,omitempty"`
 
