An odd start time doesn't shut an endpoint out for good

What callers would see: 503 for a service whose endpoint runs, after another program, or an endpoint whose clock was set back later, had registered a later start at its address.

Change: an endpoint counts as superseded for 5 s after the last sign of a later incarnation at its address, its registration or its sidecar's report.

Evidence: TestOddRegistrationShutsNothingOutForGood fails before (503 at the end) and passes now; the tests of superseded incarnations hold unchanged.

--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -74,9 +74,7 @@
 	liveness   detector.Liveness
 	// probes are those of the endpoint itself, made while its sidecar is overdue.
 	probes detector.Probes
-	// isSuperseded means that a newer incarnation has the address, so this one has ended. Its registration may still
-	// exist.
-	isSuperseded bool
+	supersession
 	// key identifies the incarnation in messages between entries.
 	key string
 	// hasEnded means that this incarnation is known to have ended, and lost holds the attempts that it had not answered
@@ -271,17 +269,6 @@
 	e.pace.setRegistration(&e.Endpoint, s, now)
 }
 
-// supersede marks the endpoint as superseded and reports whether it was not marked before.
-func (f *fleet) supersede(e *endpoint) bool {
-	if e.isSuperseded {
-		return false
-	}
-	e.isSuperseded = true
-	f.markEnded(e)
-	e.notifyChanged()
-	return true
-}
-
 func heldAdapters(models []registrar.HeldModel) map[registrar.AdapterKey]int64 {
 	held := map[registrar.AdapterKey]int64{}
 	for _, m := range models {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -203,17 +203,6 @@
 // Configuration returns the current configuration, or nil before the first.
 func (f *Forwarder) Configuration() *registrar.Configuration { return f.configuration.Load() }
 
-// SetEndpoints replaces the list of endpoints.
-func (f *Forwarder) SetEndpoints(list []registrar.Endpoint) {
-	for _, id := range f.fleet.setEndpoints(list, f.configuration.Load()) {
-		f.logSuperseded(id)
-	}
-}
-
-func (f *Forwarder) logSuperseded(endpoint string) {
-	f.config.Log.Info().Str("Endpoint", endpoint).Msg("forwarder: endpoint superseded by a newer incarnation at its address")
-}
-
 // SetVersions replaces the declared adapter versions.
 func (f *Forwarder) SetVersions(versions map[registrar.AdapterKey]int64) {
 	f.fleet.setVersions(versions)
@@ -603,6 +592,7 @@
 func (f *Forwarder) Prune() {
 	f.config.Pool.Prune(f.fleet.hasAddress)
 	f.fleet.pruneUsage()
+	f.restoreSuperseded()
 	f.quarantine.prune()
 	f.throttle.update(f.config.Members())
 	f.reports.prune(f.fleet.keys())
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -434,6 +434,38 @@
 	assert.Equal(t, e.count(), 20)
 }
 
+// TestOddRegistrationShutsNothingOutForGood guards against an endpoint that gets no requests any more because another
+// program, or a clock that was set back, once registered a later start at its address.
+func TestOddRegistrationShutsNothingOutForGood(t *testing.T) {
+	e := newEndpoint(t, "sound", ok)
+	start := time.Now()
+	var passed atomic.Int64
+	f := newFixtureWith(t, translator{}, func() time.Time { return start.Add(time.Hour + time.Duration(passed.Load())) }, e)
+	sound, odd := e.registered("s"), e.registered("s")
+	sound.Born, odd.ID, odd.Born = 1, "odd", 2
+	tick := func() int {
+		passed.Add(int64(time.Second))
+		f.Prune()
+		return f.send(t, "/once/", "").status
+	}
+	f.SetEndpoints([]registrar.Endpoint{sound, odd})
+	for range 10 {
+		tick()
+	}
+	f.SetEndpoints([]registrar.Endpoint{sound})
+	// Until then the registration can be that of an endpoint which has ended.
+	assert.Equal(t, tick(), 503)
+	for range 5 {
+		tick()
+	}
+	assert.Equal(t, tick(), 200)
+	// Reports of the engine's sidecar keep an earlier incarnation out for as long as they come.
+	for range 10 {
+		f.SetState(wire.EngineState{Address: sound.Address, Born: 2})
+		assert.Equal(t, tick(), 503)
+	}
+}
+
 // TestConnectFailureIsRetriedElsewhere guards against failing a request because one endpoint refuses connections.
 func TestConnectFailureIsRetriedElsewhere(t *testing.T) {
 	live := newEndpoint(t, "live", ok)
