The retry budget follows a change of its window

Slots are numbered by time over their length; after a change the old counts stood under the wrong numbers. A comment forbade the change, and the entry made it at each reload.

Change: the counts move into the slots of the new window, requests as if made at the beginning of their slot and retries as if at its end.

Evidence: TestBudgetHoldsWhileTheWindowChanges fails with the old body ("4 retries, bound 3") and passes; TestRetriesStayWithinTheBudget holds.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -543,7 +543,7 @@
 		b = &retryBudget{retrier: retrier.New(c)}
 		f.retryBudgets[service] = b
 	}
-	b.retrier = b.retrier.WithConfig(c)
+	b.retrier = b.retrier.WithConfig(c, f.config.Now().Sub(f.start))
 	return b
 }
 
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -102,9 +102,11 @@
 	return delay, delay < remaining
 }
 
+func (r Retrier) slotLength() time.Duration { return max(r.config.Window/slots, 1) }
+
 // advance clears the slots that have left the window. A time earlier than the latest one seen changes nothing.
 func (r Retrier) advance(now time.Duration) Retrier {
-	slot := int64(now / max(r.config.Window/slots, 1))
+	slot := int64(now / r.slotLength())
 	if slot-r.slot > int64(len(r.counts)) {
 		r.slot = slot - int64(len(r.counts))
 	}
@@ -115,9 +117,25 @@
 	return r
 }
 
-// WithConfig replaces the configuration and keeps the counts. Window must not change: the slots are derived from it.
-func (r Retrier) WithConfig(c Config) Retrier {
+// WithConfig replaces the configuration and keeps the counts. Retries that were made before the last window of the earlier
+// configuration are not known any more.
+func (r Retrier) WithConfig(c Config, now time.Duration) Retrier {
 	next := New(c)
-	r.config = next.config
-	return r
+	if next.config.Window == r.config.Window {
+		r.config = next.config
+		return r
+	}
+	r, next = r.advance(now), next.advance(now)
+	length, nextLength := r.slotLength(), next.slotLength()
+	for slot := r.slot; slot >= max(0, r.slot-slots); slot-- {
+		counts := r.counts[slot%int64(len(r.counts))]
+		// Requests count as made at the beginning of their slot and retries at its end, so that the bound is kept.
+		if at := int64(time.Duration(slot) * length / nextLength); at >= next.slot-slots {
+			next.counts[at%int64(len(next.counts))].requests += counts.requests
+		}
+		if at := min(next.slot, int64((time.Duration(slot+1)*length-1)/nextLength)); at >= next.slot-slots {
+			next.counts[at%int64(len(next.counts))].retries += counts.retries
+		}
+	}
+	return next
 }
--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -78,3 +78,52 @@
 		assert.Equal(t, ok, delay < remaining)
 	})
 }
+
+// TestBudgetHoldsWhileTheWindowChanges guards against retries that are counted for too long, or not at all, after the window
+// of the budget has changed.
+func TestBudgetHoldsWhileTheWindowChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawWindow := func() time.Duration {
+			return rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Second, 1500 * time.Millisecond, 10 * time.Second}).Draw(t, "window")
+		}
+		c := retrier.Config{Ratio: 0.5, Constant: 3, Window: drawWindow()}
+		r := retrier.New(c)
+		now, knownFrom := 50*time.Second, time.Duration(0)
+		var requests, retries []time.Duration
+		after := func(times []time.Duration, from time.Duration) (n float64) {
+			for _, at := range times {
+				if at > from {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now += time.Duration(rapid.SampledFrom([]int{0, 1, 30, 99, 1000, 5000}).Draw(t, "ms")) * time.Millisecond
+			if rapid.IntRange(0, 4).Draw(t, "changes") == 0 {
+				knownFrom = max(knownFrom, now-c.Window)
+				c.Window = drawWindow()
+				r = r.WithConfig(c, now)
+			}
+			for range rapid.IntRange(0, 10).Draw(t, "requests") {
+				r = r.WithRequest(now)
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 5).Draw(t, "failures") {
+				var ok bool
+				if r, ok = r.Allow(now); ok {
+					retries = append(retries, now)
+					used, bound := after(retries, max(knownFrom, now-c.Window)), c.Ratio*after(requests, now-c.Window)+c.Constant
+					assert.Assert(t, used <= bound+1e-9, "%v retries, bound %v", used, bound)
+				}
+			}
+		}
+		// Whatever came before, an idle window later the constant is there in full.
+		now += c.Window + c.Window/5
+		for range 3 {
+			var ok bool
+			r, ok = r.Allow(now)
+			assert.Assert(t, ok)
+		}
+	})
+}
