--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -231,11 +231,11 @@
 // against an object store that holds a call with a byte now and then.
 func TestLargeObjectArrivesOverThinLink(t *testing.T) {
 	const part, timeout = 32 << 10, 500 * time.Millisecond
-	trickles := false
+	var trickles atomic.Bool
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		for range 30 {
 			content := make([]byte, part)
-			if trickles {
+			if trickles.Load() {
 				content = content[:1]
 			}
 			if _, err := w.Write(content); err != nil || r.Context().Err() != nil {
@@ -251,7 +251,7 @@
 	body, err := client.GetObject(t.Context(), "snapshot")
 	assert.NilError(t, err)
 	assert.Equal(t, len(body), 30*part)
-	trickles = true
+	trickles.Store(true)
 	_, err = client.GetObject(t.Context(), "snapshot")
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
