Patches stay small for configurations of several megabytes

Cause: the compressor's fastest level keeps 32,768 positions of the base, too few for one of more than a megabyte.

The test's routes have random names now, and it asks for the same ratio at 2.8 MB.

--- a/pkg/patcher/patcher.go
+++ b/pkg/patcher/patcher.go
@@ -38,7 +38,8 @@
 // Encode returns the patch from base to document. With an empty base the document is only compressed.
 func Encode(base, document []byte) (Patch, error) {
 	options := []zstd.EOption{
-		zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
+		// The fastest level remembers too little of a base of more than a megabyte.
+		zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
 		// The base is only of use if the window reaches back to its beginning.
 		zstd.WithWindowSize(windowSize(len(base) + len(document))),
 	}
--- a/pkg/patcher/patcher_test.go
+++ b/pkg/patcher/patcher_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -19,7 +20,9 @@
 func routes(from, to int) []byte {
 	var b bytes.Buffer
 	for i := from; i < to; i++ {
-		fmt.Fprintf(&b, `{"host":"api.example","kind":"streaming","name":"r-%08x","prefix":"/v1/%x/","service":"engine","timeout_ms":5000,"max_attempts":2},`, i*2654435761, i*40503)
+		r := rand.New(rand.NewPCG(1, uint64(i)))
+		fmt.Fprintf(&b, `{"host":"h-%05x.example","kind":"streaming","name":"r-%07x","prefix":"/p-%06x/","service":"engine","timeout_ms":%d,"max_attempts":2},`,
+			r.Uint32N(1<<20), r.Uint32N(1<<28), r.Uint32N(1<<24), 1000+r.IntN(9000))
 	}
 	return b.Bytes()
 }
@@ -57,6 +60,11 @@
 	assert.NilError(t, err)
 	t.Logf("a removed key: %d bytes", len(p.Frame))
 	assert.Assert(t, len(p.Frame) < len(grown)/1000)
+	large := routes(0, 20000)
+	p, err = patcher.Encode(slices.Concat(large, key), slices.Concat(large, bytes.Replace(key, []byte(`,"k2"`), nil, 1)))
+	assert.NilError(t, err)
+	t.Logf("a removed key of %d bytes: %d bytes", len(large), len(p.Frame))
+	assert.Assert(t, len(p.Frame) < len(large)/1000)
 	p, err = patcher.Encode(nil, grown)
 	assert.NilError(t, err)
 	t.Logf("whole: %d bytes", len(p.Frame))
