--- a/internal/forwarder/supersession.go
+++ b/internal/forwarder/supersession.go
@@ -13,13 +13,13 @@
 // supersession is what shows that a later incarnation has the address of an endpoint, whose registration may still exist.
 type supersession struct {
 	isSuperseded bool
-	// seenAt is the time of the last sign of the later incarnation: its registration or its sidecar's report.
-	seenAt time.Time
+	// laterSeenAt is the time of the last sign of the later incarnation: its registration or its sidecar's report.
+	laterSeenAt time.Time
 }
 
 // supersede records a sign of a later incarnation at the endpoint's address, and reports whether it is the first.
 func (f *fleet) supersede(e *endpoint) bool {
-	e.seenAt = f.now()
+	e.laterSeenAt = f.now()
 	if e.isSuperseded {
 		return false
 	}
@@ -38,8 +38,8 @@
 		switch {
 		case !e.isSuperseded:
 		case f.byAddress[e.Address] != e:
-			e.seenAt = f.now()
-		case f.now().Sub(e.seenAt) > supersessionTime:
+			e.laterSeenAt = f.now()
+		case f.now().Sub(e.laterSeenAt) > supersessionTime:
 			e.isSuperseded, e.hasEnded = false, false
 			e.notifyChanged()
 			restored = append(restored, e.ID)
